Keep the new instance when it takes an unnoticed place, and its lease elsewhere

Cause: taking a new instance ended the old one by the call that tells of a loss, and so ended the new one; its word that it drains was stale from then on (found by reading BackendLife beside Node.backend_announced). On the project's own path the same call gave up the lease, and standbys took keys over that the next grants would have kept. Ruled out: that a higher fence is needed on the own path; its grants replace all that came before.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -224,7 +224,7 @@
         if announcement == current:
             return
         if self.backend:
-            self.backend_lost("replaced")
+            self._replace_backend()
         self.grants.backend_changed()
         self.closed_to_new_work = False
         self.backend = self.ports.make_backend(announcement)
@@ -253,11 +253,26 @@
 
     def backend_lost(self, reason):
         """Give up the keys of a backend server that doesn't serve any more."""
+        if self.backend is not None:
+            self.ports.backend_lost()
+            self._let_go(reason)
+
+    def _replace_backend(self):
+        """Let go of a backend server whose place another instance has taken.
+
+        Where each range is granted by itself, the new one takes it only under a
+        higher fence, and so under a new lease. Elsewhere the next grants replace
+        all that came before, and giving up the lease would only leave the keys to
+        the standbys for a second or two.
+        """
+        if self.ports.fenced:
+            self._let_go("replaced")
+        else:
+            self.backend.close()
+
+    def _let_go(self, reason):
         backend, self.backend = self.backend, None
-        if backend is None:
-            return
         self.report("backend_lost", name=backend.announcement.name, reason=reason)
-        self.ports.backend_lost()
         backend.close()
         self.load.backend_died()
         # A server that is only silent may go on with the keys it was granted.
--- a/comfreywharf/platform/tests/test_losses.py
+++ b/comfreywharf/platform/tests/test_losses.py
@@ -70,3 +70,18 @@
         deployment.start(name, f"z{number % 3}", service)
     wait_for(lambda: all(deployment.ask(n).status == 200 for n in deployment.nodes))
     assert all(node.routes.version == 8 for node in deployment.nodes.values())
+
+
+def test_a_server_that_was_replaced_unnoticed_can_still_leave(deployment):
+    """Symptom: a leaving server gets new work for as long as it lives.
+    Sequence: a server crashes and another instance begins at its address between
+    two heartbeats, so that its port never refuses; later the new one says it drains.
+    Cause: taking the new instance ended the old one by the same call that tells of
+    a loss, and that ended the new one, whose every word was stale from then on."""
+    name = deployment.holder(7)
+    server = deployment.servers[name]
+    server.begin_anew("i-second")
+    wait_for(lambda: deployment.nodes[name].backend.announcement.instance == "i-second")
+    wait_for(deployment.settled)
+    server.state = "draining"
+    wait_for(lambda: deployment.nodes[name].closed_to_new_work)
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -74,6 +74,13 @@
         gevent.kill(self._beating)
         self._server.stop(timeout=0)
 
+    def begin_anew(self, instance):
+        """Go on as another instance, as after a crash that nobody noticed."""
+        self.instance = instance
+        self.held = []
+        self._highest = [-1] * 65536
+        self._sequence = 0
+
     def holds(self, key):
         """Return whether the server holds a key now."""
         now_s = boottime_s()
