Take over under a fence that grows with the taker's own lease

A taker's fence hung on the owner's lease and the slice's epoch alone; where its server died before the takeover was on record, the next life got the same number. Ruled out: an order of the earlier life that came late; the fence of a slice's owner, which is even. Before: test_a_standby_takes_over_under_a_higher_fence_after_each_loss_of_its_server fails (15 = 15). After: it passes, with all of ownership and records.

--- a/comfreywharf/records/state.py
+++ b/comfreywharf/records/state.py
@@ -127,13 +127,22 @@
         down has a number of its own (`takeover_fence`), above the owner's and
         below that of any later record.
         """
-        owner = self.members.get(piece.owner)
-        lease_epoch = owner.lease_epoch if owner else -1
-        return 2 * max(piece.epoch, lease_epoch)
+        return 2 * max(piece.epoch, self._lease_epoch(piece.owner))
 
     def takeover_fence(self, piece):
-        """Return the fence of the standby that took a slice over."""
-        return self.fence(piece) + 1
+        """Return the fence of the standby that took a slice over.
+
+        It grows with the standby's own lease, which is new after each loss of its
+        backend server. Where it didn't, and the takeover's record was still to be
+        written, the next server would be granted the slice under the same fence
+        as the lost one, whose late orders could no longer be told from its own.
+        """
+        own = 2 * self._lease_epoch(piece.standby)
+        return max(self.fence(piece), own) + 1
+
+    def _lease_epoch(self, node_id):
+        member = self.members.get(node_id)
+        return member.lease_epoch if member else -1
 
     def remember(self, record_id, outcome):
         """Keep a record's outcome for read-back, within bounds."""
--- /dev/null
+++ b/comfreywharf/records/tests/test_fences.py
@@ -0,0 +1,44 @@
+"""Fences grow with each life of a backend server."""
+
+from comfreywharf.records import ClusterState, Member, Slice
+
+PIECE = Slice(start=0, end=10, owner="owner", standby="standby", epoch=5)
+
+
+def make_member(node_id, lease_epoch):
+    return Member(
+        node_id=node_id,
+        incarnation=1,
+        host="127.0.0.1",
+        caller_port=1,
+        peer_port=2,
+        operator_port=3,
+        failure_domain="d",
+        region="r",
+        lease_epoch=lease_epoch,
+    )
+
+
+def takeover_fence(owner_lease, standby_lease):
+    members = {
+        "owner": make_member("owner", owner_lease),
+        "standby": make_member("standby", standby_lease),
+    }
+    return ClusterState(members=members).takeover_fence(PIECE)
+
+
+def test_a_standby_takes_over_under_a_higher_fence_after_each_loss_of_its_server():
+    """Symptom: two lives of a server at one address are granted keys under one fence.
+    Sequence: a standby takes keys over; before its record is written its server dies
+    and another life begins, for which it takes the same keys over again.
+    Cause: the fence of a takeover hung on the owner's lease alone."""
+    before = takeover_fence(owner_lease=7, standby_lease=9)
+    after = takeover_fence(owner_lease=7, standby_lease=30)
+    assert before < after
+
+
+def test_a_takeover_lies_between_the_owner_and_any_later_record():
+    """A late order of the owner meets a higher fence, and so does one of the taker."""
+    owners = 2 * 7
+    assert owners < takeover_fence(owner_lease=7, standby_lease=-1) < 2 * 8
+    assert owners < takeover_fence(owner_lease=7, standby_lease=9) < 2 * 10
