Have one node read the store, and the others hear from it

Ruled out: longer waits of a read (a silent store is noticed later), and pushing records (who misses one learns of it seconds later). Members form a tree by rank; who hears from a relay that doesn't answer in time, or whose news is too old, asks the next one or the store itself, and so does who was refused something by the store. 640 nodes need three levels.

--- a/comfreywharf/daemon/appender.py
+++ b/comfreywharf/daemon/appender.py
@@ -81,11 +81,15 @@
         left_s = max(deadline_s - boottime_s(), 0.0)
         try:
             with gevent.Timeout(left_s, LogError("append: out of time")):
-                self._client.append(stream, data)
+                offset = self._client.append(stream, data)
         except LogError as error:
             logging.info("append: %s", error)
+            self._follower.refused(error)
             return min(max(self._delay_s(error, priority), READ_BACK_S), left_s)
         self._backoff.succeeded(priority)
+        # The log has just named the record's place. Read back, it would cost a
+        # call, and its writer would wait for the answer to that.
+        self._follower.appended(offset, data)
         return max(deadline_s - boottime_s(), 0.0)
 
     def _delay_s(self, error, priority):
--- a/comfreywharf/daemon/follower.py
+++ b/comfreywharf/daemon/follower.py
@@ -30,11 +30,13 @@
     """How a node reads the log.
 
     A read waits up to ``wait_s`` for news; after one that brought some the node
-    rests for ``rest_s``, unless it waits for a record itself.
+    rests for ``rest_s``, unless it waits for a record itself. Where it is
+    ``relayed`` most nodes hear of records from others that read the log.
     """
 
     wait_s: float = 5.0
     rest_s: float = 0.0
+    relayed: bool = False
 
 
 class Follower:
@@ -64,6 +66,8 @@
         self._gap_since_s = None
         self.confirmed_s = float("-inf")
         self._looked_for_snapshot = False
+        self.relay = None
+        self.relayed = False
 
     @property
     def state(self):
@@ -105,6 +109,9 @@
     def run(self):
         """Follow until the greenlet is killed."""
         while True:
+            self.relayed = self._listen()
+            if self.relayed:
+                continue
             try:
                 if self.gap or not self._looked_for_snapshot:
                     self._load_newest()
@@ -121,6 +128,25 @@
                 self._backoff.succeeded(Priority.URGENT)
                 self._rest()
 
+    def _listen(self):
+        """Hear from a relay instead of the log; return whether that was enough.
+
+        A node that the log has just refused something asks the log itself, until
+        it answers. Were it content with a relay's news, a planner that can write
+        nothing down would go on planning.
+        """
+        if self.relay is None or not self.usable or not self.reachable:
+            return False
+        return self.relay.listen()
+
+    def appended(self, offset, data):
+        """Take a record that the log has just given its offset."""
+        self.take(offset, data)
+
+    def refused(self, error):
+        """Take note that the log failed an append."""
+        self._mark_unreachable(error)
+
     def take(self, offset, data):
         """Fold one record if it is the next one; return whether it was."""
         folded = self.replica.take(offset, data)
--- a/comfreywharf/daemon/gossip.py
+++ b/comfreywharf/daemon/gossip.py
@@ -22,6 +22,12 @@
 __all__ = ["Gossip"]
 
 EXCHANGE_TIMEOUT_S = 1.0
+LISTEN_MARGIN_S = 0.4
+"""How much longer than it may wait an answer with news is waited for."""
+
+MAX_WAIT_S = 5.0
+"""The longest that a peer's question is kept without news."""
+
 MAX_CONCURRENT = 8
 REACH_TIMEOUT_S = 0.4
 LONGEST_AGE_S = 3600.0
@@ -63,6 +69,10 @@
             for seed in node.settings.seeds
         }
         node.notices.on_news(self.tell)
+        self._heard = Event()
+        node.follower.subscribe(lambda record, result: self._wake())
+        node.follower.subscribe_loaded(self._wake)
+        node.routes.subscribe(lambda table: self._wake())
 
     def tell(self):
         """Have some peers told of news as soon as possible."""
@@ -93,6 +103,9 @@
         node = self._node
         node.notices.receive(request.notices, now_s)
         self._ask_if_behind(request)
+        if request.wait_ms:
+            self._await_news(request, now_s + request.wait_ms / 1000)
+            now_s = boottime_s()
         known = frozenset(notice.notice_id for notice in request.notices)
         records = self._records_for(request.next_offset)
         return ExchangeReply(
@@ -105,6 +118,21 @@
             log_age_ms=self._log_age_ms(now_s),
         )
 
+    def _await_news(self, request, until_s):
+        """Wait until there is something that a peer doesn't know."""
+        until_s = min(until_s, boottime_s() + MAX_WAIT_S)
+        node = self._node
+        while (
+            node.follower.state.next_offset <= request.next_offset
+            and node.routes.version <= request.routes_version
+            and (left_s := until_s - boottime_s()) > 0
+        ):
+            self._heard.wait(left_s)
+
+    def _wake(self):
+        self._heard.set()
+        self._heard.clear()
+
     def _log_age_ms(self, now_s):
         age_s = now_s - self._node.follower.confirmed_s
         return -1 if age_s > LONGEST_AGE_S else max(0, math.ceil(age_s * 1000))
@@ -206,8 +234,24 @@
         if follower.state.next_offset > before:
             self.tell()
 
+    def listen(self, client, wait_s):
+        """Exchange with a peer that answers once it has news, or after a wait.
+
+        Return how old this node's fold is by what the peer says of its own, in
+        seconds, or ``None`` where the peer knows that records are missing here.
+        """
+        reply, _ = self._ask(client, wait_s)
+        if reply.log_age_ms < 0 or not self._node.follower.knows(reply.next_offset):
+            return None
+        return reply.log_age_ms / 1000
+
     def _exchange(self, client):
         """Exchange once; return whether there is more to be had at once."""
+        reply, advanced = self._ask(client)
+        return advanced and self._node.follower.state.next_offset < reply.next_offset
+
+    def _ask(self, client, wait_s=0.0):
+        """Exchange once; return the reply, and whether its records were news."""
         node = self._node
         request = ExchangeRequest(
             node_id=node.settings.node_id,
@@ -216,9 +260,11 @@
             notices=node.notices.to_send(boottime_s()),
             event_clock=0,
             routes_version=node.routes.version,
+            wait_ms=int(wait_s * 1000),
         )
         sent_s = boottime_s()
-        reply = client.call("exchange", request, timeout_s=EXCHANGE_TIMEOUT_S)
+        timeout_s = wait_s + LISTEN_MARGIN_S if wait_s else EXCHANGE_TIMEOUT_S
+        reply = client.call("exchange", request, timeout_s=timeout_s)
         node.notices.receive(reply.notices, boottime_s())
         if reply.routes:
             node.routes.take(reply.routes)
@@ -227,7 +273,7 @@
             # The peer's fold was the log's this long before it answered, which
             # was after the question was sent.
             node.follower.confirm(sent_s - reply.log_age_ms / 1000)
-        return advanced and node.follower.state.next_offset < reply.next_offset
+        return reply, advanced
 
     def _take(self, records):
         """Fold a peer's records, or its snapshot; return whether any was new."""
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -22,6 +22,7 @@
 from comfreywharf.daemon.peers import Peers
 from comfreywharf.daemon.planner import Planner
 from comfreywharf.daemon.ports import OwnPorts
+from comfreywharf.daemon.relaying import Relaying
 from comfreywharf.daemon.reporter import Reporter
 from comfreywharf.daemon.routes import Routes
 from comfreywharf.daemon.snapshots import SnapshotWriter
@@ -73,6 +74,8 @@
         self.peers = Peers(self.follower, self.reporter)
         self.notices = Notices()
         self.gossip = Gossip(self)
+        if self.ports.read_pace.relayed:
+            self.follower.relay = Relaying(self, self.ports.read_pace.wait_s)
         self.leases = Leases(self)
         self.grants = self.ports.make_grants(self)
         self.witnessing = Witnessing(self, self.leases.terms)
--- /dev/null
+++ b/comfreywharf/daemon/relaying.py
@@ -0,0 +1,42 @@
+"""Hear the log's news from another node instead of reading the log."""
+
+from comfreywharf.clock import boottime_s
+from comfreywharf.membership.relays import Relays
+from comfreywharf.transport import CallError
+
+__all__ = ["Relaying"]
+
+WAIT_S = 0.5
+"""How long a relay keeps a question without news. A relay that is lost is noticed
+by the end of it."""
+
+MOST_AGE_MARGIN_S = 0.5
+"""How much older than its reads' wait the news of the log's reader may be."""
+
+
+class Relaying:
+    """Ask the relay that `Relays` chooses, again and again."""
+
+    def __init__(self, node, read_wait_s):
+        self._node = node
+        most_age_s = read_wait_s + MOST_AGE_MARGIN_S
+        self._relays = Relays(node.settings.node_id, most_age_s)
+
+    def listen(self):
+        """Hear from a relay once; return whether its news can be relied on."""
+        members = self._node.follower.state.members
+        while relay_id := self._relays.choose(members, boottime_s()):
+            if self._hear(relay_id, members):
+                return True
+            self._relays.failed(relay_id, boottime_s())
+        return False
+
+    def _hear(self, relay_id, members):
+        client = self._node.peers.client(relay_id)
+        if client is None:
+            return False
+        try:
+            age_s = self._node.gossip.listen(client, WAIT_S)
+        except CallError:
+            return False
+        return age_s is not None and self._relays.is_fresh(members, relay_id, age_s)
--- /dev/null
+++ b/comfreywharf/membership/tests/test_relays.py
@@ -0,0 +1,85 @@
+"""Who reads the log, and through whom the others hear of it."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from comfreywharf.membership.relays import FANOUT, Relays
+
+NAMES = st.sets(st.integers(0, 2000), min_size=1, max_size=700).map(
+    lambda numbers: [f"node-{number}" for number in numbers]
+)
+MOST_AGE_S = 1.5
+NOW_S = 50.0
+
+
+def relay_of(node_id, members):
+    return Relays(node_id, MOST_AGE_S).choose(members, NOW_S)
+
+
+@given(NAMES)
+def test_one_member_reads_the_log_and_each_other_one_leads_to_it(members):
+    """No two members hear from each other and from nobody else."""
+    relays = {name: relay_of(name, members) for name in members}
+    assert list(relays.values()).count("") == 1
+    for name in members:
+        steps = 0
+        while relays[name]:
+            name = relays[name]
+            steps += 1
+        assert steps <= 3
+
+
+@given(NAMES, st.randoms(use_true_random=False))
+def test_no_circle_forms_whichever_relays_fail(members, rng):
+    """Symptom: two nodes go by an old configuration for good.
+    Sequence: relays are lost; two nodes choose each other instead.
+    Cause: a node asked members of any rank."""
+    relays = {}
+    for name in members:
+        own = Relays(name, MOST_AGE_S)
+        while (chosen := own.choose(members, NOW_S)) and rng.random() < 0.5:
+            own.failed(chosen, NOW_S)
+        relays[name] = chosen
+    for name in members:
+        seen = set()
+        while name:
+            assert name not in seen
+            seen.add(name)
+            name = relays[name]
+
+
+def test_a_member_passes_news_on_to_few_others():
+    """At 640 nodes no node answers more than a bounded number."""
+    members = [f"node-{number}" for number in range(640)]
+    relays = [relay_of(name, members) for name in members]
+    assert max(relays.count(name) for name in members) <= FANOUT
+
+
+def test_a_relay_that_failed_is_left_alone_for_a_while():
+    """Asked each time, a lost relay would cost each time its time-out."""
+    members = ["a", "b", "c", "d"]
+    order = sorted(members, key=lambda name: len(relay_of(name, members)))
+    reader = next(name for name in members if not relay_of(name, members))
+    last = Relays(order[-1], MOST_AGE_S)
+    assert last.choose(members, NOW_S) == reader
+    last.failed(reader, NOW_S)
+    second = last.choose(members, NOW_S + 1)
+    assert second not in ("", reader, order[-1])
+    last.failed(second, NOW_S + 1)
+    assert last.choose(members, NOW_S + 2) == ""
+    assert last.choose(members, NOW_S + 5.1) == reader
+
+
+@pytest.mark.parametrize(("age_s", "fresh"), [(0.2, True), (1.4, True), (1.7, False)])
+def test_news_of_a_reader_that_the_log_turned_away_is_not_relied_on(age_s, fresh):
+    """Symptom: a healthy node goes by old routes for as long as an outage lasts.
+    Sequence: the store turns the one reader away and serves all others.
+    Cause: the reader's answers were taken for news, however old they were."""
+    members = ["a", "b"]
+    reader = next(name for name in members if not relay_of(name, members))
+    assert Relays("c", MOST_AGE_S).is_fresh(members, reader, age_s) is fresh
+
+
+def test_a_node_that_is_no_member_reads_the_log_itself():
+    """It can't be told where it stands before the log names it."""
+    assert relay_of("new", ["a", "b"]) == ""
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -12,12 +12,15 @@
 
 TOPIC = "keyed.op"
 KEY = "config"
-WAIT_S = 1.5
+WAIT_S = 0.75
 """How long a read waits for news. One that the store never answers ends a second
-later. With 8 s, a node that the store had been silent to went on by old routes for
-2.2 s beyond the change, although it was answered again."""
+later, which is within the 2 s that a change may take. With 8 s, a node that the
+store had been silent to went on by old routes for 2.2 s beyond the change, although
+it was answered again."""
 
 PAUSE_S = 0.3
+RELAYED_PAUSE_S = 0.1
+"""How often a node that hears from another one looks whether it still does."""
 
 
 def route_table(document):
@@ -73,17 +76,24 @@
 
 
 class ConfigurationReader:
-    """Follow the operator's record in the store; see `Routes`."""
+    """Follow the operator's record in the store; see `Routes`.
 
-    def __init__(self, store, routes, report):
+    While ``relayed()`` is true another node's answers bring the configuration.
+    """
+
+    def __init__(self, store, routes, report, relayed=lambda: False):
         self._store = store
         self._routes = routes
         self._report = report
+        self._relayed = relayed
         self._next = None
 
     def run(self):
         """Follow until the greenlet is killed."""
         while True:
+            if self._relayed():
+                gevent.sleep(RELAYED_PAUSE_S)
+                continue
             try:
                 if self._next is None:
                     self._read_newest()
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -67,12 +67,12 @@
         held_in_all_s=0.3, retry_after_ms=250, retry_burst=RETRY_BURST
     )
     retry_after = RetryAfter(least_s=0.3, most_s=0.6)
-    read_pace = ReadPace(wait_s=8.0, rest_s=0.25)
+    read_pace = ReadPace(wait_s=1.0, rest_s=0.1, relayed=True)
 
     def __init__(self, settings):
         self._settings = settings
         self._dialect = PlatformDialect()
-        self._store = Store(settings.store)
+        self.store = Store(settings.store)
         self.doubt_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
         self.front = None
         self.life = None
@@ -84,7 +84,7 @@
 
     def make_log_client(self):
         """Return the log of records as it is kept in the store."""
-        return StoreLog(self._store)
+        return StoreLog(self.store)
 
     def make_backend(self, announcement):
         """Return the announced backend server."""
@@ -140,7 +140,9 @@
 
     def greenlets(self, node):
         """Return what follows the configuration and declares its services."""
-        reader = ConfigurationReader(self._store, node.routes, node.report)
+        reader = ConfigurationReader(
+            self.store, node.routes, node.report, lambda: node.follower.relayed
+        )
         return (reader.run, Declaring(node).run)
 
     def identify(self, node, announcement):
--- /dev/null
+++ b/comfreywharf/platform/tests/test_relaying.py
@@ -0,0 +1,47 @@
+"""Few nodes of a deployment read the store; the others hear from them."""
+
+from unittest import mock
+
+from comfreywharf.daemon.logclient import LogError
+from comfreywharf.platform.tests.builders import configuration, wait_for
+
+
+def reader(deployment):
+    """Return the one node that reads the store, or ``None`` if there isn't one."""
+    found = [n for n, node in deployment.nodes.items() if not node.follower.relayed]
+    return found[0] if len(found) == 1 else None
+
+
+def test_one_node_reads_and_all_know_what_is_written(deployment):
+    """Symptom: the calls to the store grow with nodes times records.
+    Sequence: each record is read by every node.
+    Cause: no node passed on what it had read."""
+    wait_for(lambda: reader(deployment))
+    deployment.store.put("keyed.op", "config", configuration(version=4))
+    nodes = deployment.nodes.values()
+    wait_for(lambda: all(node.routes.version == 4 for node in nodes))
+    assert reader(deployment)
+
+
+def test_the_others_go_on_when_the_reader_is_lost(deployment):
+    """Symptom: nodes keep an old configuration after one other node was lost.
+    Sequence: the one that reads the store is killed; a configuration is written.
+    Cause: who heard from it went on waiting for it."""
+    wait_for(lambda: reader(deployment))
+    lost = reader(deployment)
+    deployment.nodes.pop(lost).kill()
+    deployment.store.put("keyed.op", "config", configuration(version=4))
+    nodes = deployment.nodes.values()
+    wait_for(lambda: all(node.routes.version == 4 for node in nodes))
+
+
+def test_a_reader_that_the_store_turned_away_is_passed_over(deployment):
+    """Symptom: healthy nodes keep an old configuration during a partial outage.
+    Sequence: the store answers the one reader no more, and all others well.
+    Cause: they went on taking the reader's answers for news."""
+    wait_for(lambda: reader(deployment))
+    store = deployment.nodes[reader(deployment)].ports.store
+    with mock.patch.object(store, "_call", side_effect=LogError("turned away")):
+        deployment.store.put("keyed.op", "config", configuration(version=4))
+        nodes = deployment.nodes.values()
+        wait_for(lambda: all(node.routes.version == 4 for node in nodes))
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -1997,6 +1997,7 @@
      - notices
      - event_clock
      - routes_version
+     - wait_ms
 
     """
 
@@ -2007,16 +2008,18 @@
         'notices',
         'event_clock',
         'routes_version',
+        'wait_ms',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None,):
+    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.next_offset = next_offset
         self.notices = notices
         self.event_clock = event_clock
         self.routes_version = routes_version
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2063,6 +2066,11 @@
                     self.routes_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2100,6 +2108,10 @@
             oprot.writeFieldBegin('routes_version', TType.I64, 6)
             oprot.writeI64(self.routes_version)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 7)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2116,6 +2128,8 @@
             raise TProtocolException(message='Required field event_clock is unset!')
         if self.routes_version is None:
             raise TProtocolException(message='Required field routes_version is unset!')
+        if self.wait_ms is None:
+            raise TProtocolException(message='Required field wait_ms is unset!')
         return
 
     def __repr__(self):
@@ -2975,6 +2989,7 @@
     (4, TType.LIST, 'notices', (TType.STRUCT, [Notice, None], False), None, ),  # 4
     (5, TType.I64, 'event_clock', None, None, ),  # 5
     (6, TType.I64, 'routes_version', None, None, ),  # 6
+    (7, TType.I32, 'wait_ms', None, None, ),  # 7
 )
 all_structs.append(ExchangeReply)
 ExchangeReply.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -146,7 +146,8 @@
   3: required i64 next_offset,
   4: required list<Notice> notices,
   5: required i64 event_clock,
-  6: required i64 routes_version       // 0: none known
+  6: required i64 routes_version,      // 0: none known
+  7: required i32 wait_ms              // how long the answer may wait for news
 }
 
 struct ExchangeReply {
