Go on asking servers that refuse a part of their requests, and append in batches

Each refusal lowered the number of slots that a node uses, down to one; a node then refused most of what its server would have run, and what the server refused was given up, since no other one may serve the key. Ruled out: full servers; they were given no more than their slots. Resends stay within 0.7 of the platform's bound on retries, two for a request at most, and only after a proof that it didn't run.

--- a/comfreywharf/daemon/appender.py
+++ b/comfreywharf/daemon/appender.py
@@ -1,9 +1,12 @@
 """Append records to the log within the node's share, and read them back."""
 
+from functools import partial
+
 import gevent
 from absl import logging
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.batches import Batches
 from comfreywharf.daemon.logclient import LogBusy, LogError
 from comfreywharf.records import encode_record
 from comfreywharf.records.appends import AppendBudget, Backoff, Priority, priority_of
@@ -39,6 +42,11 @@
         self._node_id = node_id
         self._budget = AppendBudget(now_s=boottime_s())
         self._backoff = Backoff(rng)
+        self._batches = None
+        if client.takes_batches:
+            self._batches = Batches(
+                partial(client.append_all, stream), follower.appended
+            )
 
     def append(self, record, timeout_s):
         """Append a record, read it back, and return its `FoldOutcome`.
@@ -81,17 +89,20 @@
         left_s = max(deadline_s - boottime_s(), 0.0)
         try:
             with gevent.Timeout(left_s, LogError("append: out of time")):
-                offset = self._client.append(stream, data)
+                self._append_one(stream, data)
         except LogError as error:
             logging.info("append: %s", error)
             self._follower.refused(error)
             return min(max(self._delay_s(error, priority), READ_BACK_S), left_s)
         self._backoff.succeeded(priority)
-        # The log has just named the record's place. Read back, it would cost a
-        # call, and its writer would wait for the answer to that.
-        self._follower.appended(offset, data)
         return max(deadline_s - boottime_s(), 0.0)
 
+    def _append_one(self, stream, data):
+        if self._batches is not None:
+            self._batches.append(data)
+        else:
+            self._follower.appended(self._client.append(stream, data), data)
+
     def _delay_s(self, error, priority):
         retry_after_s = error.retry_after_s if isinstance(error, LogBusy) else 0.0
         self._budget.refused(boottime_s(), retry_after_s)
--- /dev/null
+++ b/comfreywharf/daemon/batches.py
@@ -0,0 +1,56 @@
+"""Records that are appended at the same moment go out in one call."""
+
+import gevent
+from gevent.event import AsyncResult
+
+from comfreywharf.daemon.logclient import LogError
+
+__all__ = ["Batches"]
+
+GATHER_S = 0.01
+"""How long a call waits for more records. A planned move of ten slices ends in ten
+records of one node within a few milliseconds."""
+
+MOST_RECORDS = 64
+
+
+class _Batch:
+    def __init__(self):
+        self.records = []
+        self.first = AsyncResult()
+
+
+class Batches:
+    """Gather records, and append each gathering with ``append_all(records)``.
+
+    That returns the offset of the first one, or raises `LogError` for all of them.
+    ``appended(offset, data)`` is told of each, in their order.
+    """
+
+    def __init__(self, append_all, appended):
+        self._append_all = append_all
+        self._appended = appended
+        self._open = None
+
+    def append(self, data):
+        """Return the offset of a record once it is appended; raises `LogError`."""
+        batch = self._open
+        if batch is None or len(batch.records) >= MOST_RECORDS:
+            batch = self._open = _Batch()
+            gevent.spawn(self._send, batch)
+        index = len(batch.records)
+        batch.records.append(data)
+        return batch.first.get() + index
+
+    def _send(self, batch):
+        gevent.sleep(GATHER_S)
+        if self._open is batch:
+            self._open = None
+        try:
+            first = self._append_all(batch.records)
+        except LogError as error:
+            batch.first.set_exception(error)
+            return
+        for index, data in enumerate(batch.records):
+            self._appended(first + index, data)
+        batch.first.set(first)
--- a/comfreywharf/daemon/follower.py
+++ b/comfreywharf/daemon/follower.py
@@ -140,7 +140,10 @@
         return self.relay.listen()
 
     def appended(self, offset, data):
-        """Take a record that the log has just given its offset."""
+        """Take a record that the log has just given its offset.
+
+        Read back, it would cost a call, and its writer would wait for that.
+        """
         self.take(offset, data)
 
     def refused(self, error):
--- a/comfreywharf/daemon/logclient.py
+++ b/comfreywharf/daemon/logclient.py
@@ -55,6 +55,8 @@
     """
 
     keeps_newest = False
+    takes_batches = False
+    """Whether ``append_all(stream, records)`` appends several records at once."""
 
     def __init__(self, host, port, timeout_s=2.0):
         self._host = host
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -70,7 +70,7 @@
         self.follower.subscribe_loaded(self._report_config)
         self.follower.subscribe_loaded(self._on_loaded)
         self.snapshots = SnapshotWriter(settings.node_id, self.follower, self.report)
-        self.routes = Routes()
+        self.routes = Routes(self.ports.retry_fraction)
         self.peers = Peers(self.follower, self.reporter)
         self.notices = Notices()
         self.gossip = Gossip(self)
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -19,6 +19,7 @@
 from comfreywharf.load.fairqueue import FairQueue
 from comfreywharf.ownership import LeaseTerms
 from comfreywharf.placement import PlacementPace
+from comfreywharf.records import DEFAULT_RETRY_FRACTION
 from comfreywharf.routing import RouteLimits
 
 __all__ = ["OwnPorts", "Ports"]
@@ -31,7 +32,8 @@
     ``remembers`` is false, each send of a caller has an id of its own, so that no
     answer need be remembered for a resend. A backend server that wasn't heard for
     ``doubt_s`` is tried; one that wasn't for ``silent_s`` counts as lost, unless
-    that is ``None``.
+    that is ``None``. Of the requests of a service that routes lead to,
+    ``retry_fraction`` more may be retries.
     """
 
     fenced = False
@@ -43,6 +45,7 @@
     read_pace = ReadPace()
     retry_after = RetryAfter()
     removes_lost = False
+    retry_fraction = DEFAULT_RETRY_FRACTION
 
     @property
     @abstractmethod
--- a/comfreywharf/daemon/routes.py
+++ b/comfreywharf/daemon/routes.py
@@ -2,7 +2,7 @@
 
 from absl import logging
 
-from comfreywharf.records import ServiceConfig
+from comfreywharf.records import DEFAULT_RETRY_FRACTION, ServiceConfig
 from comfreywharf.routes import (
     RouteTable,
     RouteTableError,
@@ -21,7 +21,8 @@
     that was overtaken by a peer's news would otherwise take the node back.
     """
 
-    def __init__(self):
+    def __init__(self, retry_fraction=DEFAULT_RETRY_FRACTION):
+        self._retry_fraction = retry_fraction
         self.table = RouteTable()
         self.splitter = Splitter()
         self._document = b""
@@ -62,6 +63,7 @@
                 name=service.name,
                 divided_by_key=service.divided_by_number,
                 max_body_bytes=table.limits.body_bytes,
+                retry_fraction=self._retry_fraction,
             )
             for service in table.services
         }
--- /dev/null
+++ b/comfreywharf/daemon/tests/test_batches.py
@@ -0,0 +1,45 @@
+"""Appends of the same moment share a call."""
+
+import gevent
+import pytest
+
+from comfreywharf.daemon.batches import Batches
+from comfreywharf.daemon.logclient import LogError
+
+
+class FakeLog:
+    """Gives out offsets from 100 on, or fails."""
+
+    def __init__(self, fails=False):
+        self.calls = []
+        self.fails = fails
+
+    def append_all(self, records):
+        self.calls.append(list(records))
+        if self.fails:
+            raise LogError("down")
+        return 100 + sum(map(len, self.calls[:-1]))
+
+
+def test_records_of_one_moment_share_a_call_and_keep_their_order():
+    """Each writer learns its own record's offset, and the fold hears of all."""
+    log, heard = FakeLog(), []
+    batches = Batches(log.append_all, lambda offset, data: heard.append((offset, data)))
+    tasks = [gevent.spawn(batches.append, data) for data in (b"a", b"b", b"c")]
+    gevent.joinall(tasks)
+    assert log.calls == [[b"a", b"b", b"c"]]
+    assert [task.value for task in tasks] == [100, 101, 102]
+    assert heard == [(100, b"a"), (101, b"b"), (102, b"c")]
+    assert batches.append(b"d") == 103
+
+
+def test_a_call_that_fails_fails_all_its_records():
+    """Nobody takes a record for written that isn't."""
+    heard = []
+    batches = Batches(FakeLog(fails=True).append_all, lambda *args: heard.append(args))
+    tasks = [gevent.spawn(batches.append, data) for data in (b"a", b"b")]
+    gevent.joinall(tasks)
+    for task in tasks:
+        with pytest.raises(LogError):
+            task.get()
+    assert not heard
--- a/comfreywharf/load/limits.py
+++ b/comfreywharf/load/limits.py
@@ -44,6 +44,8 @@
 
     Where ``cold`` is false there is no ramp: a server that is only slower after
     its start, at any number of requests, loses by each slot that is left empty.
+    Where ``cuts`` is false refusals change nothing: a server that refuses a part of
+    its requests at any load, and is given one slot for it, serves a twelfth.
 
     >>> limit = ConcurrencyLimit(slots=12)
     >>> limit.allowed()
@@ -52,6 +54,7 @@
 
     slots: int
     cold: bool = True
+    cuts: bool = True
     _answers: int = 0
     _limit: float = attrs.field(init=False)
     _allowed: int = attrs.field(init=False)
@@ -75,7 +78,7 @@
 
     def refused(self, now_s):
         """Lower the limit after the backend server refused a request."""
-        if now_s - self._cut_s < CUT_INTERVAL_S:
+        if not self.cuts or now_s - self._cut_s < CUT_INTERVAL_S:
             return
         self._cut_s = now_s
         self._limit = max(1.0, self._limit * CUT_FACTOR)
--- /dev/null
+++ b/comfreywharf/load/tests/test_refusing_server.py
@@ -0,0 +1,70 @@
+"""A server that refuses a part of its requests whatever its load."""
+
+import random
+
+import pytest
+
+from comfreywharf.load import ConcurrencyLimit, Ticket
+from comfreywharf.load.admission import (
+    AdmissionState,
+    Arrived,
+    Begin,
+    Finished,
+    Result,
+    decide,
+)
+from comfreywharf.load.fairqueue import RankedQueue
+
+SLOTS = 12
+PER_S = 80
+WORK_S = 0.13
+REFUSAL_S = 0.002
+REFUSED_SHARE = 0.55
+SECONDS = 8
+
+
+def play(limit):
+    """Return the share of requests that the server was asked to run.
+
+    80 requests a second come to 12 slots of 130 ms each, so that nine tenths of the
+    slots would be in use if nothing were refused.
+    """
+    rng = random.Random(7)
+    state = AdmissionState(limit, 256, random.Random(1), queue=RankedQueue())
+    ends, asked, arrivals = [], 0, PER_S * SECONDS
+    now_s = 0.0
+    for number in range(arrivals):
+        arrives_s = number / PER_S
+        while ends and min(ends, key=lambda end: end[0])[0] <= arrives_s:
+            end = min(ends, key=lambda end: end[0])
+            ends.remove(end)
+            asked += _begin(decide(state, Finished(end[1], end[2]), end[0]), ends, rng)
+        now_s = arrives_s
+        ticket = Ticket(
+            flow=None,
+            deadline_s=now_s + 1.0,
+            arrived_s=now_s,
+            target_s=now_s + 0.4,
+        )
+        asked += _begin(decide(state, Arrived(ticket), now_s), ends, rng)
+    return asked / arrivals
+
+
+def _begin(actions, ends, rng):
+    begun = [action.ticket for action in actions if isinstance(action, Begin)]
+    for ticket in begun:
+        refused = rng.random() < REFUSED_SHARE
+        lasts_s = REFUSAL_S if refused else WORK_S
+        result = Result.REFUSED if refused else Result.ANSWERED
+        ends.append((ticket.begun_s + lasts_s, ticket, result))
+    return len(begun)
+
+
+@pytest.mark.parametrize(("cuts", "least", "most"), [(True, 0, 0.6), (False, 0.99, 1)])
+def test_a_server_that_refuses_at_any_load_is_still_asked(cuts, least, most):
+    """Symptom: a third of the requests is served while the servers refuse half.
+    Sequence: each server refuses 55 in 100 requests, whatever its load.
+    Cause: each refusal lowered the number of slots, down to a single one, and the
+    node itself then refused most of what the server would have run."""
+    share = play(ConcurrencyLimit(SLOTS, cold=False, cuts=cuts))
+    assert least <= share <= most
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -41,7 +41,15 @@
 
 RETRY_BURST = 5.0
 """The platform counts the retries of all nodes together: a fifth of the requests of
-10 s and some 60 more. Ten nodes spend a tenth and 50 at once."""
+10 s and some 60 more. Ten nodes spend a part of the fifth, and 50 at once."""
+
+RETRY_SHARE = 0.7
+"""The part of the platform's bound on retries that is used. Also counted there are
+requests that a server answers 421, which aren't counted here."""
+
+RESENDS = 2
+"""Servers refuse up to 55 in 100 requests for seconds, at any load. With two more
+tries each, seven in eight would be served; the budget bounds their number."""
 
 LONGEST_WORK_S = 5.0
 """How long a release waits for the server's work on the range to end."""
@@ -64,7 +72,10 @@
         by_speed=True,
     )
     route_limits = RouteLimits(
-        held_in_all_s=0.3, retry_after_ms=250, retry_burst=RETRY_BURST
+        held_in_all_s=0.3,
+        retry_after_ms=250,
+        retry_burst=RETRY_BURST,
+        resends=RESENDS,
     )
     retry_after = RetryAfter(least_s=0.3, most_s=0.6)
     read_pace = ReadPace(wait_s=1.0, rest_s=0.1, relayed=True)
@@ -74,6 +85,7 @@
         self._dialect = PlatformDialect()
         self.store = Store(settings.store)
         self.doubt_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
+        self.retry_fraction = RETRY_SHARE * settings.retry_fraction
         self.front = None
         self.life = None
 
@@ -127,8 +139,12 @@
         )
 
     def make_limit(self, slots):
-        """Return a limit without a ramp: a cold server is slow at any load."""
-        return ConcurrencyLimit(slots, cold=False)
+        """Return the slots as they are: no ramp and no cuts.
+
+        A cold server is slow at any load, and one that refuses requests within its
+        slots does so at any load as well.
+        """
+        return ConcurrencyLimit(slots, cold=False, cuts=False)
 
     def make_queue(self):
         """Return a queue by priority: no key can use up a server's slots here."""
--- a/comfreywharf/platform/store.py
+++ b/comfreywharf/platform/store.py
@@ -51,13 +51,13 @@
         settings = {"concurrency": CONCURRENCY, "connect_timeout_s": CONNECT_TIMEOUT_S}
         self._client = make(address.host, address.port, **settings)
 
-    def append(self, topic, data, position=None):
-        """Append one record to a topic and return its offset.
+    def append(self, topic, records, position=None):
+        """Append records to a topic, all or none; return the first one's offset.
 
-        With a ``position`` the record is appended only if the topic ends there;
+        With a ``position`` they are appended only if the topic ends there;
         ``None`` is returned where it doesn't.
         """
-        body = _LENGTH.pack(len(data)) + data
+        body = b"".join(_LENGTH.pack(len(data)) + data for data in records)
         target = f"/-/log-append?topic={topic}&part=0"
         if position is not None:
             target += f"&at={position}"
@@ -71,7 +71,7 @@
     def append_keyed(self, topic, key, value, position=None):
         """Make a value the newest of a key; see `append`."""
         name = key.encode("ascii")
-        return self.append(topic, bytes([len(name)]) + name + value, position)
+        return self.append(topic, [bytes([len(name)]) + name + value], position)
 
     def read(self, topic, start, wait_s, max_kb=1024):
         """Return `Records` from an offset on, waiting for the first one."""
@@ -156,6 +156,7 @@
     """
 
     keeps_newest = True
+    takes_batches = True
 
     def __init__(self, store):
         self._store = store
@@ -164,7 +165,11 @@
         """Append a record, or a part of a snapshot; return its offset."""
         if stream.endswith(SNAPSHOT_SUFFIX):
             return self._store.append_keyed(_topic(stream), "newest", data)
-        return self._store.append(stream, data)
+        return self.append_all(stream, [data])
+
+    def append_all(self, stream, records):
+        """Append several records at once; return the first one's offset."""
+        return self._store.append(stream, records)
 
     def read(self, stream, start, limit=200, wait_ms=0):
         """Return a `Batch` from an offset on, waiting for the first record."""
--- a/comfreywharf/records/__init__.py
+++ b/comfreywharf/records/__init__.py
@@ -27,7 +27,11 @@
     UnknownRecord,
     WitnessesReset,
 )
-from comfreywharf.records.services import Configuration, ServiceConfig
+from comfreywharf.records.services import (
+    DEFAULT_RETRY_FRACTION,
+    Configuration,
+    ServiceConfig,
+)
 from comfreywharf.records.slices import (
     KEY_SPACE,
     NUMBER_KEYS,
@@ -41,6 +45,7 @@
 from comfreywharf.records.validation import ServiceFinding, check_patch, check_service
 
 __all__ = [
+    "DEFAULT_RETRY_FRACTION",
     "KEY_SPACE",
     "NUMBER_KEYS",
     "ChangesSince",
--- a/comfreywharf/records/services.py
+++ b/comfreywharf/records/services.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-__all__ = ["Configuration", "ServiceConfig"]
+__all__ = ["DEFAULT_RETRY_FRACTION", "Configuration", "ServiceConfig"]
+
+DEFAULT_RETRY_FRACTION = 0.1
+"""How many retries there may be for each first send of a service."""
 
 
 @attrs.frozen(kw_only=True)
@@ -24,7 +27,7 @@
     unavailable_weight: float = 1.0
     churn_weight: float = 1.0
     queue_length: int = 256
-    retry_fraction: float = 0.1
+    retry_fraction: float = DEFAULT_RETRY_FRACTION
     max_body_bytes: int = 1 << 30
 
 
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -54,7 +54,8 @@
     The waits grow from ``first_hold_s`` to ``longest_hold_s``; a fold that names
     another owner ends a wait early. ``retry_after_ms`` is told to a caller whose
     key had no owner for all of that time; ``retry_burst`` bounds the retries that
-    one node may send at once after a calm time.
+    one node may send at once after a calm time. A request whose owner's server
+    refused it is sent there ``resends`` times more, within the retry budget.
     """
 
     holds: int = 48
@@ -64,6 +65,7 @@
     held_in_all_s: float = 3.0
     retry_after_ms: int = 1000
     retry_burst: float = 20.0
+    resends: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +96,7 @@
     asked: frozenset[str] = frozenset()
     holds: int = 0
     held_since_s: float | None = None
+    resends: int = 0
 
 
 @attrs.frozen
@@ -147,6 +150,10 @@
         return GiveUp()
     reason = Reason(reply.reason)
     if ownership is not None:
+        if reason is Reason.REFUSED_BY_BACKEND and trail.resends < limits.resends:
+            # No other server may serve the key, and this one was given no more
+            # than its slots: that it refused says little about the next try.
+            return Send(attrs.evolve(trail, resends=trail.resends + 1), retry=True)
         if reason not in _OWNERSHIP_GAP:
             return GiveUp()
         trail = attrs.evolve(trail, asked=trail.asked | {trail.target})
--- a/comfreywharf/routing/tests/test_route.py
+++ b/comfreywharf/routing/tests/test_route.py
@@ -154,3 +154,34 @@
             firsts += 1
             budget.earn(fraction)
         assert retries <= firsts * fraction + 1e-6
+
+
+def test_a_request_that_its_owners_server_refused_is_sent_there_again():
+    """Symptom: half of the requests fail while servers refuse half of them.
+    Sequence: the only server that may serve a key refuses a request that it has a
+    slot for; the next try would have been served.
+    Cause: there is no other server to send it to, so it was given up."""
+    limits = RouteLimits(resends=2)
+    trail, sends = Trail(target="a", retries_left=0), 0
+    reply = refused(Reason.REFUSED_BY_BACKEND)
+    while isinstance(step := decide_here(trail, reply, limits), Send):
+        assert step.retry and step.trail.target == "a"
+        trail, sends = step.trail, sends + 1
+    assert isinstance(step, GiveUp) and sends == 2
+    unknown = attrs.evolve(reply, outcome=Outcome.UNKNOWN)
+    assert isinstance(
+        decide_here(Trail(target="a", retries_left=0), unknown, limits), GiveUp
+    )
+
+
+def decide_here(trail, reply, limits):
+    return decide_route(
+        trail,
+        reply,
+        ownership=Ownership(owner="a", standby="b"),
+        other_member="",
+        replayable=True,
+        now_s=0.0,
+        deadline_s=1.0,
+        limits=limits,
+    )
