Let one function tell the log of draining, and name the target that has passed

Cause: the same record with the same time-out was built in two modules, and the value 1 that marks a passed target stood as a bare number in two of the three that use it. Ruled out: a change of behaviour; the record, its time-out and the bound are the same. Before: twice and three times. After: once each.

--- a/comfreywharf/daemon/admission.py
+++ b/comfreywharf/daemon/admission.py
@@ -4,6 +4,7 @@
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.caller_requests import TARGET_PASSED_MS
 from comfreywharf.daemon.quarantine import request_fingerprint
 from comfreywharf.daemon.replies import refusal
 from comfreywharf.load import Ticket
@@ -20,7 +21,6 @@
 
 __all__ = ["Admission", "Slot"]
 
-TARGET_PASSED_MS = 1
 LATE_RANK = 100
 """Added to the rank of a request that is late already: behind all that aren't."""
 
--- a/comfreywharf/daemon/backend_life.py
+++ b/comfreywharf/daemon/backend_life.py
@@ -2,9 +2,8 @@
 
 import gevent
 
-from comfreywharf.daemon.follower import NotAcknowledged, new_record_id
+from comfreywharf.daemon.draining import tell_draining
 from comfreywharf.membership.instances import Instances, Word
-from comfreywharf.records import DrainChanged
 
 __all__ = ["BackendLife"]
 
@@ -12,7 +11,6 @@
 """How long before the bound new work ends: what was admitted in the last moment
 still has to reach the server."""
 
-APPEND_TIMEOUT_S = 1.0
 RETRY_S = 0.2
 
 
@@ -93,7 +91,7 @@
 
     def _tell_leaving(self, instance):
         while self._instances.living == instance and self._instances.leaving:
-            if self._tell(draining=True):
+            if tell_draining(self._node, True):
                 return
             gevent.sleep(RETRY_S)
 
@@ -104,19 +102,6 @@
             member = self._node.follower.state.members.get(me)
             if member is None or not member.draining:
                 return
-            if self._tell(draining=False):
+            if tell_draining(self._node, False):
                 return
             gevent.sleep(RETRY_S)
-
-    def _tell(self, draining):
-        node = self._node
-        record = DrainChanged(
-            record_id=new_record_id(),
-            node_id=node.settings.node_id,
-            draining=draining,
-            author=node.settings.node_id,
-        )
-        try:
-            return node.follower.append(record, APPEND_TIMEOUT_S).accepted
-        except NotAcknowledged:
-            return False
--- a/comfreywharf/daemon/caller_requests.py
+++ b/comfreywharf/daemon/caller_requests.py
@@ -11,12 +11,21 @@
 from comfreywharf.routing import SAFE_METHODS, Reason
 from comfreywharf.transport.gen.ttypes import ForwardRequest
 
-__all__ = ["MAX_KEY_BYTES", "CallerRequest", "parse_request"]
+__all__ = [
+    "MAX_KEY_BYTES",
+    "TARGET_PASSED_MS",
+    "CallerRequest",
+    "parse_request",
+    "target_left_ms",
+]
 
 MAX_KEY_BYTES = 512
 MAX_HEADER_BYTES = 16 * 1024
 RETRIES = 2
 
+TARGET_PASSED_MS = 1
+"""What ``ForwardRequest.target_ms`` holds once an answer is late; 0 means never."""
+
 FIRST_SEND = 0
 FIRST_SEND_UNKNOWN = -1
 _LONGEST_AGO_MS = 1 << 30
@@ -27,6 +36,15 @@
 _NUMBER = re.compile(r"[0-9]{1,12}")
 
 
+def target_left_ms(left_ms):
+    """Return how long an answer is still worth most, as a message carries it.
+
+    >>> target_left_ms(120.7), target_left_ms(-3)
+    (120, 1)
+    """
+    return max(TARGET_PASSED_MS, int(left_ms))
+
+
 @attrs.frozen
 class CallerRequest:
     """The request for the owner, its body left out, and its service."""
--- a/comfreywharf/daemon/dispatch.py
+++ b/comfreywharf/daemon/dispatch.py
@@ -6,6 +6,7 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.backend import BackendError
 from comfreywharf.daemon.bodies import PART_BYTES, BodyError
+from comfreywharf.daemon.caller_requests import target_left_ms
 from comfreywharf.daemon.replies import refusal
 from comfreywharf.records import key_hash
 from comfreywharf.routing import (
@@ -215,7 +216,7 @@
         request = call.request
         request.remaining_ms = int((call.deadline_s - now_s) * 1000)
         if call.worth_until_s is not None:
-            request.target_ms = max(1, int((call.worth_until_s - now_s) * 1000))
+            request.target_ms = target_left_ms((call.worth_until_s - now_s) * 1000)
         if request.remaining_ms <= 0:
             return refusal(Reason.DEADLINE_BEFORE_START), None
         call.target = target
--- /dev/null
+++ b/comfreywharf/daemon/draining.py
@@ -0,0 +1,23 @@
+"""Have the log say that this node's backend server leaves, or takes work again."""
+
+from absl import logging
+
+from comfreywharf.daemon.follower import NotAcknowledged, new_record_id
+from comfreywharf.records import DrainChanged
+
+__all__ = ["tell_draining"]
+
+APPEND_TIMEOUT_S = 1.0
+
+
+def tell_draining(node, draining):
+    """Append the record; return whether the log accepted it within a second."""
+    node_id = node.settings.node_id
+    record = DrainChanged(
+        record_id=new_record_id(), node_id=node_id, draining=draining, author=node_id
+    )
+    try:
+        return node.follower.append(record, APPEND_TIMEOUT_S).accepted
+    except NotAcknowledged as error:
+        logging.info("draining=%s isn't on record: %s", draining, error)
+        return False
--- a/comfreywharf/daemon/stopping.py
+++ b/comfreywharf/daemon/stopping.py
@@ -1,18 +1,15 @@
 """A planned stop: hand over every key, finish every request, then end."""
 
 import gevent
-from absl import logging
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.follower import NotAcknowledged, new_record_id
-from comfreywharf.records import DrainChanged
+from comfreywharf.daemon.draining import tell_draining
 
 __all__ = ["stop_gracefully", "stop_within"]
 
 DRAIN_LIMIT_S = 20.0
 WITNESS_LIMIT_S = 5.0
 FINISH_LIMIT_S = 10.0
-APPEND_LIMIT_S = 1.0
 POLL_S = 0.02
 
 RETIRE_AFTER_S = 1.5
@@ -58,17 +55,7 @@
 def _announce_drain(node):
     if node.settings.node_id not in node.follower.state.members:
         return False
-    record = DrainChanged(
-        record_id=new_record_id(),
-        node_id=node.settings.node_id,
-        draining=True,
-        author=node.settings.node_id,
-    )
-    try:
-        return node.follower.append(record, timeout_s=APPEND_LIMIT_S).accepted
-    except NotAcknowledged as error:
-        logging.info("drain isn't on record: %s", error)
-        return False
+    return tell_draining(node, True)
 
 
 def _has_slices(node):
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.caller_requests import CallerRequest
+from comfreywharf.daemon.caller_requests import CallerRequest, target_left_ms
 from comfreywharf.daemon.front import Answer, FrontLimits
 from comfreywharf.daemon.ingress import BodySource
 from comfreywharf.records import NUMBER_KEYS, number_key
@@ -135,7 +135,7 @@
         most_ms = self._most_left_ms.get(route.name, 0)
         if left_ms > most_ms:
             most_ms = self._most_left_ms[route.name] = left_ms
-        return max(1, route.latency_target_ms - (most_ms - left_ms))
+        return target_left_ms(route.latency_target_ms - (most_ms - left_ms))
 
     def _headers(self, head):
         named = head.get("connection", "").lower()
