Build a member for tests in one place

Cause: read as a whole, the change had the same builder of a member in the tests of fences and in those of lost witnesses. Ruled out: a change of what is asserted; the assertions are the same. Before: twice. After: once, in records/tests/builders.py. Conclusion: kept; linter, formatter and the tests of fences, lost witnesses and replicas pass (16). Nothing else was run on this commit.

--- a/comfreywharf/ownership/tests/test_lost_witnesses.py
+++ b/comfreywharf/ownership/tests/test_lost_witnesses.py
@@ -6,7 +6,7 @@
 from comfreywharf.ownership.lostwitnesses import LostWitnesses
 from comfreywharf.records import ClusterState, LeaseStarted, WitnessesReset, fold
 from comfreywharf.records.messages import NodeAnnounced
-from comfreywharf.records.state import Member
+from comfreywharf.records.tests.builders import make_member
 
 TERMS = LeaseTerms(lease_s=1.5, drift=0.025, stale_after_s=10.0)
 WITNESSES = ("a", "b", "c")
@@ -16,20 +16,6 @@
     return lost.look(witnesses, asking, now_s)
 
 
-def member(node_id, **fields):
-    values = {
-        "incarnation": 1,
-        "host": "h",
-        "caller_port": 1,
-        "peer_port": 2,
-        "operator_port": 3,
-        "failure_domain": f"domain of {node_id}",
-        "region": "r",
-        **fields,
-    }
-    return Member(node_id=node_id, **values)
-
-
 def test_silence_of_two_witnesses_leads_to_others():
     """Symptom: a healthy node's keys stay dark for good.
     Sequence: the machines of two of its witnesses are removed within seconds.
@@ -45,7 +31,7 @@
     lost.probed({"a", "d", "e", "f"}, 13.5)
     lost.heard("a", 13.7)
     assert look(lost, 13.8) == (False, True)
-    state = ClusterState(members={n: member(n) for n in "abcdefx"})
+    state = ClusterState(members={n: make_member(n) for n in "abcdefx"})
     assert set(lost.choose(state, "x")) <= {"a", "d", "e", "f"}
 
 
--- a/comfreywharf/records/tests/builders.py
+++ b/comfreywharf/records/tests/builders.py
@@ -10,6 +10,7 @@
     ConfigPatched,
     DrainChanged,
     LeaseStarted,
+    Member,
     MoveCompleted,
     NodeAnnounced,
     NodeRemoved,
@@ -24,7 +25,7 @@
     UnknownRecord,
 )
 
-__all__ = ["NODES", "make_record", "make_service", "opening"]
+__all__ = ["NODES", "make_member", "make_record", "make_service", "opening"]
 
 NODES = ("a", "b", "c")
 SERVICES = ("booking", "files")
@@ -35,6 +36,21 @@
     return ServiceConfig(name=name, **{"slices": 2, **fields})
 
 
+def make_member(node_id, **fields):
+    """Return a member in a failure domain of its own."""
+    values = {
+        "incarnation": 1,
+        "host": "h",
+        "caller_port": 1,
+        "peer_port": 2,
+        "operator_port": 3,
+        "failure_domain": f"domain of {node_id}",
+        "region": "r",
+        **fields,
+    }
+    return Member(node_id=node_id, **values)
+
+
 def make_record(rng, state, record_id):
     """Return a random record that builds on a state, or now and then on none."""
     builder = rng.choice(_BUILDERS)
--- a/comfreywharf/records/tests/test_fences.py
+++ b/comfreywharf/records/tests/test_fences.py
@@ -1,28 +1,15 @@
 """Fences grow with each life of a backend server."""
 
-from comfreywharf.records import ClusterState, Member, Slice
+from comfreywharf.records import ClusterState, Slice
+from comfreywharf.records.tests.builders import make_member
 
 PIECE = Slice(start=0, end=10, owner="owner", standby="standby", epoch=5)
 
 
-def make_member(node_id, lease_epoch):
-    return Member(
-        node_id=node_id,
-        incarnation=1,
-        host="127.0.0.1",
-        caller_port=1,
-        peer_port=2,
-        operator_port=3,
-        failure_domain="d",
-        region="r",
-        lease_epoch=lease_epoch,
-    )
-
-
 def takeover_fence(owner_lease, standby_lease):
     members = {
-        "owner": make_member("owner", owner_lease),
-        "standby": make_member("standby", standby_lease),
+        "owner": make_member("owner", lease_epoch=owner_lease),
+        "standby": make_member("standby", lease_epoch=standby_lease),
     }
     return ClusterState(members=members).takeover_fence(PIECE)
 
