Leave slices whole that need little of a slot

With the reason in the assertion it is not-yet-owner or wrong-owner: a third of a server's load counted as hot however small the load, and since a round divides a slice up to four times, a few requests a second for one key divided its slice twenty times. The parts fitted where the whole hadn't, and went to and fro every half a second; one was still held by a request that its server had crashed on, and wasn't served for a second. Ruled out: the load of the machine (2 of 6 runs failed at load 2), the cancellation (the refusals prove "not run" and name no deadline), the hold at the new owner (it waits, and the release came too late). Before: test_a_slice_that_needs_little_of_a_slot_is_left_whole fails with slices divided; test_requests.py failed in 4 of 8 runs. After: it passes; test_requests.py still fails in 2 of 6 runs, as slices are moved for balance all the same. Where the time of a request isn't known, slices are divided as before.

--- a/comfreywharf/daemon/tests/test_planner_rounds.py
+++ b/comfreywharf/daemon/tests/test_planner_rounds.py
@@ -49,3 +49,20 @@
     before = len(cluster.pieces)
     make_planner(cluster)._round(cluster.now_s)
     assert len(cluster.pieces) >= before + 7
+
+
+def test_a_slice_that_needs_little_of_a_slot_is_left_whole():
+    """Symptom: a key is refused for a moment when nearly nothing is asked.
+    Sequence: a few callers ask for one key of an idle service, again and again.
+    Cause: a third of a server's load counted as hot however small that load was; its
+    slice was divided twenty times in one round, and the parts went to and fro."""
+    cluster = PlannedCluster(nodes=3, slices=4)
+    cluster.service_ms = 1.0
+    cluster.settle()
+    rates = {piece.start: 0.1 for piece in cluster.pieces}
+    rates[0] = 20.0
+    cluster.now_s += 1.0
+    cluster.report(rates)
+    before = len(cluster.pieces)
+    make_planner(cluster)._round(cluster.now_s)
+    assert len(cluster.pieces) == before
--- a/comfreywharf/placement/resize.py
+++ b/comfreywharf/placement/resize.py
@@ -20,6 +20,11 @@
 MERGE_SHARE = 0.02
 """Two slices are merged when both together weigh at most this share."""
 
+LEAST_SLOTS = 0.25
+"""How much of a slot a slice must need before it is divided. Of a server that is
+hardly used, any slice can be a third of the load: a few requests a second then
+divided the slices until none were left to divide, and moved the parts about."""
+
 SLICES_PER_MEMBER = 24
 
 
@@ -75,6 +80,8 @@
         if piece.end - piece.start == 1 or not _at_rest(view, piece):
             continue
         weight = view.weights[piece.start]
+        if view.slots_needed(piece) < LEAST_SLOTS:
+            continue
         while hot and hot[0] < piece.start:
             hot.pop(0)
         if hot and hot[0] < piece.end:
--- a/comfreywharf/placement/view.py
+++ b/comfreywharf/placement/view.py
@@ -1,5 +1,6 @@
 """One service as a round of planning sees it, and the moves planned so far."""
 
+import math
 from heapq import heapify, heappop, heappush
 
 import attrs
@@ -65,6 +66,11 @@
         service_s = self.service_s.get(node_id, 0.0)
         return self.loads[node_id] * service_s / max(1, self.members[node_id].slots)
 
+    def slots_needed(self, piece):
+        """Return how many slots a slice's load needs; infinite where unknown."""
+        service_s = self.service_s.get(piece.owner, 0.0)
+        return self.weights[piece.start] * service_s if service_s > 0 else math.inf
+
     def least_loaded(self):
         """Return the target with the lowest relative load."""
         while self._order[0][0] != self.relative(self._order[0][1]):
--- a/comfreywharf_dev/standins/tests/test_requests.py
+++ b/comfreywharf_dev/standins/tests/test_requests.py
@@ -156,7 +156,8 @@
     wait_idle(cluster, owner_of(cluster, "k"))
     assert effects_of(cluster, "slow") == []
     # Its cancellation proved that it didn't run, so the resend runs.
-    assert book(cluster, "files-1", "k", "slow", path)[0] == 200
+    status, reason, _ = book(cluster, "files-1", "k", "slow", path)
+    assert (status, reason) == (200, "")
     assert len(effects_of(cluster, "slow")) == 1
 
 
@@ -295,7 +296,8 @@
     head = answer.split(b"\r\n\r\n", 1)[0].decode("latin-1")
     assert head.split(" ")[1] == str(status)
     assert not reason or f"Comfreywharf-Reason: {reason}" in head
-    assert cluster.call("booking-1", "/booking/look", key="k", method="GET")[0] == 200
+    status, headers, _ = cluster.call("booking-1", "/booking/look", "k", "GET")
+    assert (status, headers.get("Comfreywharf-Reason", "")) == (200, "")
 
 
 @pytest.mark.parametrize(
@@ -310,7 +312,8 @@
 def test_a_bad_peer_is_cut_off_and_the_node_lives(cluster, data):
     """What isn't a call of this version ends its connection only."""
     assert raw(cluster.plans["booking-1"].peer_port, data) == b""
-    assert cluster.call("booking-1", "/booking/look", key="k", method="GET")[0] == 200
+    status, headers, _ = cluster.call("booking-1", "/booking/look", "k", "GET")
+    assert (status, headers.get("Comfreywharf-Reason", "")) == (200, "")
 
 
 def test_a_quoted_path_reaches_the_server_as_it_was_sent(cluster):
