Give up a connection on which a long body was refused

A server that refuses an upload before it has read it ("early") keeps the connection, and reads the rest for up to a second before it looks at the next request. The next one was sent there, got no answer, and was cancelled; the server found it later. The test passes. A refused long body costs a new connection (1 ms).

--- a/comfreywharf/daemon/http.py
+++ b/comfreywharf/daemon/http.py
@@ -22,6 +22,10 @@
 BLOCK_BYTES = 64 * 1024
 NO_LINGER = struct.pack("ii", 1, 0)
 
+LONG_BODY_BYTES = 4096
+"""From which length on a server may refuse a request before it has its body: a
+shorter one comes with the headers, in the first segments of a connection."""
+
 
 class NodelayPool(ConnectionPool):
     """A pool whose connections send at once, to an IP number.
@@ -93,9 +97,10 @@
     connection is closed in the usual way, and cut when that is reset.
     """
 
-    def __init__(self, method, sock, pool, unframed=False):
+    def __init__(self, method, sock, pool, unframed=False, long_body=False):
         super().__init__(method=method)
         self._unframed = unframed
+        self._long_body = long_body
         self._sock = sock
         self._pool = pool
         self._whole = False
@@ -185,11 +190,20 @@
         sock, self._sock = self._sock, None
         if sock is None:
             return
-        if not self._whole or self.should_close():
+        if not self._whole or self.should_close() or self._body_may_be_unread():
             self._pool.release_socket(sock)
         else:
             self._pool.return_socket(sock)
 
+    def _body_may_be_unread(self):
+        """Return whether the server may have refused the request halfway.
+
+        It then reads on before it looks at the next request. That one waits for up
+        to a second without an answer, most often past its deadline, and reaches the
+        server long after its caller has left.
+        """
+        return self._long_body and self.get_code() >= 400
+
     def following(self):
         """Return the response behind this one on the connection.
 
@@ -198,7 +212,9 @@
         if not self._whole or self.should_close():
             raise HTTPParseError("nothing can follow this answer")
         sock, self._sock = self._sock, None
-        return BackendResponse(self.method, sock, self._pool, self._unframed)
+        return BackendResponse(
+            self.method, sock, self._pool, self._unframed, self._long_body
+        )
 
     def __del__(self):
         self.held = False
@@ -284,7 +300,8 @@
         except BaseException:
             self._pool.release_socket(sock)
             raise
-        return BackendResponse(method, sock, self._pool, self.unframed)
+        long_body = not isinstance(body, bytes) or len(body) >= LONG_BODY_BYTES
+        return BackendResponse(method, sock, self._pool, self.unframed, long_body)
 
     def close(self):
         """Close idle connections."""
--- a/comfreywharf/daemon/tests/test_backend_answers.py
+++ b/comfreywharf/daemon/tests/test_backend_answers.py
@@ -18,9 +18,9 @@
 from comfreywharf.routing import Reason
 
 
-def exchange(backend, timeout_s=5.0, method="GET"):
+def exchange(backend, timeout_s=5.0, method="GET", body=b""):
     """Return status and body of one request."""
-    response = backend.exchange(request(method), "", b"", running(timeout_s=timeout_s))
+    response = backend.exchange(request(method), "", body, running(timeout_s=timeout_s))
     return response.status_code, response.read(1000)
 
 
@@ -62,6 +62,27 @@
         assert server.connections == 2
 
 
+@pytest.mark.parametrize(
+    ("length", "refused", "connections"),
+    [(4096, True, 2), (4096, False, 1), (100, True, 1)],
+)
+def test_a_connection_with_half_a_body_on_it_is_given_up(length, refused, connections):
+    """Symptom: a request reaches its server a second after its caller has left.
+
+    Sequence: a server refuses an upload before it has read it, and reads on; the
+    next request goes out on that connection; its caller leaves. Cause: a whole
+    answer was taken for the sign that the server is done with the request.
+    """
+    first = whole(b"full")
+    if refused:
+        first = first.replace(b"200 OK", b"503 Full")
+    with ScriptedServer(Reply(first), Reply(whole(b"next"))) as server:
+        backend = backend_for(server)
+        exchange(backend, method="POST", body=b"x" * length)
+        assert exchange(backend) == (200, b"next")
+        assert server.connections == connections
+
+
 def test_bytes_that_come_while_a_connection_is_idle_retire_it():
     """A doubled answer that arrives later is seen before the next send."""
     with ScriptedServer(Reply(whole(b"1")), Reply(whole(b"2"))) as server:
