Keep requests without a key in their failure domain while its server has room

Cause: two thirds of the uploads and of the checks that servers make went to another zone, for no gain: a server of the service stands in each. Ruled out: the nearest always (a crowded or slow one has to be left alone: tests), one more measurement from the servers themselves (what this node counts is enough).

--- a/comfreywharf/daemon/members.py
+++ b/comfreywharf/daemon/members.py
@@ -5,7 +5,7 @@
 import attrs
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.load import DEFAULT_CHOOSER, Ejector, MemberLoad
+from comfreywharf.load import Ejector, MemberLoad
 from comfreywharf.routing import Outcome, Reason
 
 __all__ = ["Members", "Sent"]
@@ -44,12 +44,12 @@
     ``present`` are those that take new work, as of ``listed_s``.
     """
 
-    def __init__(self):
+    def __init__(self, chooser):
         self.members = {}
         self.present = []
         self.listed_s = float("-inf")
         self.ejector = Ejector()
-        self.chooser = DEFAULT_CHOOSER()
+        self.chooser = chooser
 
 
 class Members:
@@ -100,7 +100,10 @@
         known = self._services[sent.service]
         failed = _failed(reply)
         if failed is None:
-            sent.member.drop()
+            if reply is not None and reply.reason == Reason.OVERLOADED:
+                sent.member.crowded()
+            else:
+                sent.member.drop()
             known.ejector.dropped(sent.member, sent.probe)
             return
         now_s = boottime_s()
@@ -132,7 +135,7 @@
     def _listed(self, service, now_s):
         known = self._services.get(service)
         if known is None:
-            known = self._services[service] = _Service()
+            known = self._services[service] = _Service(self._node.ports.make_chooser())
         if now_s - known.listed_s > LIST_AGE_S:
             known.listed_s = now_s
             self._list_members(service, known)
@@ -145,10 +148,12 @@
             if entry.service == service
         ]
         members = {}
+        own_domain = self._node.settings.failure_domain
         for entry in entries:
             member = known.members.get(entry.node_id) or MemberLoad(entry.node_id)
             if member.announced_offset != entry.announced_offset:
                 member.started_again(entry.announced_offset)
+            member.near = entry.failure_domain == own_domain
             members[entry.node_id] = member
         known.members = members
         known.present = [members[e.node_id] for e in entries if not e.draining]
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -14,7 +14,7 @@
 from comfreywharf.daemon.logclient import LogClient
 from comfreywharf.daemon.operators import BackendPort, OperatorPort
 from comfreywharf.daemon.wire import OwnDialect
-from comfreywharf.load import ConcurrencyLimit
+from comfreywharf.load import DEFAULT_CHOOSER, ConcurrencyLimit
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.fairqueue import FairQueue
 from comfreywharf.ownership import LeaseTerms
@@ -88,6 +88,10 @@
         """Return the `RequestQueue` in which requests wait for a slot."""
         return FairQueue()
 
+    def make_chooser(self):
+        """Return the `Chooser` among servers of a service that isn't divided by key."""
+        return DEFAULT_CHOOSER()
+
     def backend_lost(self):
         """Take note that the backend server is gone."""
         return
--- a/comfreywharf/load/__init__.py
+++ b/comfreywharf/load/__init__.py
@@ -8,6 +8,7 @@
     DEFAULT_CHOOSER,
     Chooser,
     LeastInFlight,
+    NearFirst,
     RoundRobin,
     TwoChoices,
 )
@@ -32,6 +33,7 @@
     "MemberLoad",
     "Quarantine",
     "QuarantineEntry",
+    "NearFirst",
     "RoundRobin",
     "Standing",
     "Ticket",
--- a/comfreywharf/load/choice.py
+++ b/comfreywharf/load/choice.py
@@ -2,7 +2,21 @@
 
 from abc import ABC, abstractmethod
 
-__all__ = ["DEFAULT_CHOOSER", "Chooser", "LeastInFlight", "RoundRobin", "TwoChoices"]
+__all__ = [
+    "DEFAULT_CHOOSER",
+    "Chooser",
+    "LeastInFlight",
+    "NearFirst",
+    "RoundRobin",
+    "TwoChoices",
+]
+
+NEAR_BONUS = 3.0
+"""How many times the cost of a far server a near one may have. A node has about one
+request at a time at each server, so that costs differ by two or three by chance."""
+
+CROWDED = 0.05
+"""The fraction of refused requests from which on being near counts for nothing."""
 
 
 class Chooser(ABC):
@@ -58,6 +72,24 @@
         return first if _cost(first) <= _cost(second) else second
 
 
+class NearFirst(TwoChoices):
+    """A server in this node's failure domain, unless another one is much better.
+
+    Bytes between failure domains are paid for, and take longer. A near server that
+    refuses is no better than any: its requests would be sent twice.
+    """
+
+    def choose(self, members, chance):
+        """Return a near server, or the better of two where none is good enough."""
+        near = [m for m in members if m.near and m.refused_fraction < CROWDED]
+        far = [m for m in members if not m.near]
+        if not near or not far:
+            return super().choose(members, chance)
+        first = super().choose(near, chance)
+        second = super().choose(far, chance)
+        return first if _cost(first) <= NEAR_BONUS * _cost(second) else second
+
+
 def _cost(member):
     return member.mean_latency_s * (member.in_flight + 1) / member.weight
 
--- a/comfreywharf/load/members.py
+++ b/comfreywharf/load/members.py
@@ -12,6 +12,9 @@
 FAILURE_WEIGHT = 0.2
 """The weight of the newest outcome in the failure fraction."""
 
+REFUSAL_WEIGHT = 0.1
+"""The weight of the newest outcome in the fraction refused for want of slots."""
+
 ANSWERS_UNTIL_WARM = 50
 """After how many answers through one node a server gets its full part."""
 
@@ -23,7 +26,8 @@
     All of it is counted by this node. What a backend server reports of its own
     health and load isn't consulted: reports lag, and a server that fails every
     request may report that it is well and idle. ``announced_offset`` tells one
-    start of the server from the next; with each it is cold again.
+    start of the server from the next; with each it is cold again. It is ``near`` if it
+    stands in this node's failure domain.
     """
 
     node_id: str
@@ -33,6 +37,8 @@
     mean_latency_s: float = 0.0
     failure_fraction: float = 0.0
     samples: int = 0
+    near: bool = False
+    refused_fraction: float = 0.0
 
     @property
     def weight(self):
@@ -45,6 +51,7 @@
         self.answers = 0
         self.mean_latency_s = 0.0
         self.failure_fraction = 0.0
+        self.refused_fraction = 0.0
         self.samples = 0
 
     def begin(self):
@@ -55,9 +62,15 @@
         """Count the end of a request that says nothing of the server."""
         self.in_flight -= 1
 
+    def crowded(self):
+        """Count a request that was refused for want of slots."""
+        self.in_flight -= 1
+        self.refused_fraction += REFUSAL_WEIGHT * (1 - self.refused_fraction)
+
     def finish(self, latency_s, failed):
         """Count the end of a request, and whether the server failed it."""
         self.in_flight -= 1
+        self.refused_fraction -= REFUSAL_WEIGHT * self.refused_fraction
         self.samples += 1
         weight = max(FAILURE_WEIGHT, 1 / self.samples)
         self.failure_fraction += weight * (failed - self.failure_fraction)
--- a/comfreywharf/load/tests/test_choice.py
+++ b/comfreywharf/load/tests/test_choice.py
@@ -6,7 +6,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from comfreywharf.load.choice import LeastInFlight, RoundRobin, TwoChoices
+from comfreywharf.load.choice import LeastInFlight, NearFirst, RoundRobin, TwoChoices
 from comfreywharf.load.ejection import MAX_PAUSE_S, Ejector
 from comfreywharf.load.tests.builders import member
 
@@ -146,6 +146,48 @@
     assert members[0] in [turns.choose(members, chance) for _ in range(2)]
 
 
+def three_members():
+    """Return a near server and two far ones, all measured as alike."""
+    members = [member("near"), member("far"), member("away")]
+    members[0].near = True
+    return members
+
+
+def choices(members, count=60):
+    """Return the set of servers that a node in the near one's domain chooses."""
+    chooser, chance = NearFirst(), random.Random(0)
+    return {chooser.choose(members, chance).node_id for _ in range(count)}
+
+
+def test_uploads_stay_in_their_failure_domain_while_its_server_has_room():
+    """Two thirds of all bytes went between failure domains for no gain."""
+    members = three_members()
+    members[0].begin()
+    assert choices(members) == {"near"}
+
+
+@pytest.mark.parametrize("trouble", ["in flight", "slow", "refuses"])
+def test_a_near_server_in_trouble_is_not_preferred(trouble):
+    """Symptom: callers of one domain are refused beside idle servers.
+    Sequence: the callers move to one domain; its server has no slot to spare.
+    Cause: being near counted for more than the queue."""
+    members = three_members()
+    near = members[0]
+    for _ in range(5 if trouble == "in flight" else 1):
+        near.begin()
+    if trouble == "slow":
+        near.mean_latency_s *= 4
+    if trouble == "refuses":
+        near.crowded()
+        assert "far" in choices(members)
+        for _ in range(10):
+            near.begin()
+            near.finish(near.mean_latency_s, False)
+        assert choices(members) == {"near"}
+    else:
+        assert "near" not in choices(members)
+
+
 def test_cold_server_gets_a_part_of_the_load():
     """A server that has just announced itself is weighed by what it answered."""
     warm, cold = member("warm", samples=60), member("cold", samples=60)
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -14,7 +14,7 @@
 from comfreywharf.daemon.operators import OperatorPort
 from comfreywharf.daemon.ports import Ports
 from comfreywharf.daemon.range_grants import RangeGrants
-from comfreywharf.load import ConcurrencyLimit
+from comfreywharf.load import ConcurrencyLimit, NearFirst
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.fairqueue import RankedQueue
 from comfreywharf.ownership.holds import HoldTerms
@@ -149,6 +149,10 @@
             witnesses=WITNESSES,
         )
 
+    def make_chooser(self):
+        """Return a choice that saves bytes between zones."""
+        return NearFirst()
+
     def make_limit(self, slots):
         """Return the slots as they are: no ramp and no cuts.
 
