End a caller's connection where its request says so

Cause: the parser was asked whether the connection goes on after it had parsed the request's end as well, and then answers for the next one. A request that came in one piece with "Connection: close" was answered, and its connection stayed until the idle time-out; found since a test's requests took 2.0 s each. Ruled out: the node under test (all nodes did so), the answer (it went out after 3 ms). Before: test_a_connection_ends_with_the_request_that_says_so fails for two of three requests. After: it passes.

--- a/comfreywharf/daemon/front.py
+++ b/comfreywharf/daemon/front.py
@@ -102,6 +102,8 @@
         self.parts = []
         self.done = False
         self.extra = False
+        self.parser = None
+        self.keeps = False
 
     def on_message_begin(self):
         # Bytes behind the request's end. Taken for a request of their own they
@@ -119,6 +121,12 @@
             self.headers.append((name.decode("latin-1").lower(), _text(value)))
 
     def on_headers_complete(self):
+        # Once the request's end is parsed as well, the parser answers for the next
+        # request: a caller that asked for it never saw its connection closed.
+        if self.parser is not None:
+            self.keeps = self.parser.should_keep_alive()
+        # Kept, the two would hold each other until the garbage collection.
+        self.parser = None
         self.head_done = True
 
     def on_body(self, data):
@@ -149,6 +157,7 @@
         self.idle = True
         self._parse = _Parse()
         self._parser = httptools.HttpRequestParser(self._parse)
+        self._parse.parser = self._parser
         self._receive_first(self._limits().idle_timeout_s)
         self.idle = False
         with gevent.Timeout(self._limits().header_timeout_s, _Bad(408)):
@@ -208,7 +217,7 @@
             target=parse.url.decode("latin-1"),
             headers=parse.headers,
             length=0,
-            keeps=self._parser.should_keep_alive(),
+            keeps=parse.keeps,
         )
         coding = head.get("transfer-encoding")
         if coding is not None:
--- a/comfreywharf/daemon/tests/test_front.py
+++ b/comfreywharf/daemon/tests/test_front.py
@@ -64,6 +64,19 @@
 LAST = b"GET /z HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 
+@pytest.mark.parametrize(
+    "data", [LAST, GET.replace(b"1.1", b"1.0"), LAST.replace(b"close", b"x, Close")]
+)
+def test_a_connection_ends_with_the_request_that_says_so(server, data):
+    """Symptom: a caller that reads to the end of the stream waits two seconds.
+
+    Sequence: it asks for the end of the connection in a request that comes in one
+    piece. Cause: the parser was asked after the request's end, when it had
+    forgotten what the request said."""
+    answer = exchange(server, data)
+    assert b"connection: close" in answer.lower()
+
+
 def test_a_kept_connection_serves_one_request_after_the_other(server, application):
     """Sent one behind the other's answer, each gets its own."""
     with contextlib.closing(socket.create_connection(("127.0.0.1", server.port))) as s:
