Let a node that starts without the log hear from peers that ask it

Ruled out: seeds (the platform's settings may name none), waiting for the peers' notices (they carry no records). Before: test_a_node_that_restarts_while_the_store_is_away_hears_from_its_peers fails: no request is answered within 20 s. A question between peers now carries where the asker is to be found.

--- a/comfreywharf/daemon/gossip.py
+++ b/comfreywharf/daemon/gossip.py
@@ -159,9 +159,19 @@
         follower = self._node.follower
         if follower.reachable or request.next_offset <= follower.state.next_offset:
             return
+        if not self._calls.full():
+            self._calls.spawn(self._exchange_with_first, [self._asker(request)])
+
+    def _asker(self, request):
+        """Return the client for a peer that asked, be it known here or not.
+
+        A node that starts while the log is away knows no member. It would refuse
+        every request until the log is back, beside peers that know all owners.
+        """
         client = self._node.peers.client(request.node_id)
-        if client is not None and not self._calls.full():
-            self._calls.spawn(self._exchange_with_first, [client])
+        if client is not None:
+            return client
+        return PeerClient(request.host, request.peer_port, self._node.reporter)
 
     def _records_for(self, next_offset):
         replica = self._node.follower.replica
@@ -261,6 +271,8 @@
             event_clock=0,
             routes_version=node.routes.version,
             wait_ms=int(wait_s * 1000),
+            host=node.settings.host,
+            peer_port=node.settings.advertised_peer_port or node.settings.peer_port,
         )
         sent_s = boottime_s()
         timeout_s = wait_s + LISTEN_MARGIN_S if wait_s else EXCHANGE_TIMEOUT_S
--- a/comfreywharf/platform/tests/test_losses.py
+++ b/comfreywharf/platform/tests/test_losses.py
@@ -27,6 +27,18 @@
     assert server.refused_grants == 0
 
 
+def test_a_node_that_restarts_while_the_store_is_away_hears_from_its_peers(deployment):
+    """Symptom: a node refuses every request for 8 s, with no owner for any key.
+    Sequence: it is killed and comes back while the store answers nobody.
+    Cause: it knew no peer; those that asked it for news are no members of an empty
+    state, and it asked none of them."""
+    deployment.store.fault = "busy"
+    name = deployment.elsewhere(7)
+    deployment.nodes[name].kill()
+    deployment.start(name, "z0", deployment.servers[name].service)
+    wait_for(lambda: deployment.ask(name).status == 200)
+
+
 def test_a_leaving_server_gets_nothing_after_its_bound(deployment):
     """Symptom: a server that drains still gets requests.
     Sequence: it says so while the store is away, so that no record can tell.
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -1998,6 +1998,8 @@
      - event_clock
      - routes_version
      - wait_ms
+     - host
+     - peer_port
 
     """
 
@@ -2009,10 +2011,12 @@
         'event_clock',
         'routes_version',
         'wait_ms',
+        'host',
+        'peer_port',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None,):
+    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None, host=None, peer_port=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.next_offset = next_offset
@@ -2020,6 +2024,8 @@
         self.event_clock = event_clock
         self.routes_version = routes_version
         self.wait_ms = wait_ms
+        self.host = host
+        self.peer_port = peer_port
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2071,6 +2077,16 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.peer_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2112,6 +2128,14 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 7)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 8)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.peer_port is not None:
+            oprot.writeFieldBegin('peer_port', TType.I32, 9)
+            oprot.writeI32(self.peer_port)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2130,6 +2154,10 @@
             raise TProtocolException(message='Required field routes_version is unset!')
         if self.wait_ms is None:
             raise TProtocolException(message='Required field wait_ms is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.peer_port is None:
+            raise TProtocolException(message='Required field peer_port is unset!')
         return
 
     def __repr__(self):
@@ -2990,6 +3018,8 @@
     (5, TType.I64, 'event_clock', None, None, ),  # 5
     (6, TType.I64, 'routes_version', None, None, ),  # 6
     (7, TType.I32, 'wait_ms', None, None, ),  # 7
+    (8, TType.STRING, 'host', 'UTF8', None, ),  # 8
+    (9, TType.I32, 'peer_port', None, None, ),  # 9
 )
 all_structs.append(ExchangeReply)
 ExchangeReply.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -147,7 +147,9 @@
   4: required list<Notice> notices,
   5: required i64 event_clock,
   6: required i64 routes_version,      // 0: none known
-  7: required i32 wait_ms              // how long the answer may wait for news
+  7: required i32 wait_ms,             // how long the answer may wait for news
+  8: required string host,             // where the asker's own peer port is
+  9: required i32 peer_port
 }
 
 struct ExchangeReply {
