Let a restarted witness grant at once to an owner whose earlier grant still counts

Cause: after a loss of many, the keys of nodes that weren't killed are dark for 1.6 s: three of a node's five witnesses restart together, and a witness that restarts is silent for a lease to everyone, to the owner as well. But as long as the owner's grant by the earlier process counts, that process can have granted the lease to nobody else. Ruled out: more witnesses (seven of ten nodes are killed at a time), believing the owner's word alone (it may be outdated when the witness goes by it: the answer counts only while the earlier grant does). Before: test_witnesses_that_restart_together_leave_a_living_owner_its_keys fails.

--- a/comfreywharf/daemon/lease_messages.py
+++ b/comfreywharf/daemon/lease_messages.py
@@ -31,6 +31,7 @@
         reach_ms=_to_ms(renewal.reach_s),
         event_clock=0,
         round=renewal.round,
+        vouched=renewal.vouched,
     )
 
 
@@ -44,6 +45,7 @@
         lease_s=request.lease_ms / 1000,
         reach_s=request.reach_ms / 1000,
         round=request.round,
+        vouched=request.vouched,
     )
 
 
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -149,7 +149,10 @@
         self.holder.use_witnesses([group for group in groups if group])
         reach_until_s = self.inflight.reach_until_s(now_s)
         renewal = self.holder.renewal(own, reach_until_s, now_s)
-        return [SendRenewal(witness, renewal) for witness in self.holder.asked]
+        return [
+            SendRenewal(witness, self.holder.vouched(renewal, witness))
+            for witness in self.holder.asked
+        ]
 
     def renewed(self, witness, number, term, now_s):
         """Count a witness's grant of a renewal; return what to do."""
--- a/comfreywharf/ownership/claims.py
+++ b/comfreywharf/ownership/claims.py
@@ -90,7 +90,7 @@
         self.tick(now_s)
         if self.over:
             return False
-        self.lease.grant(witness, number, term)
+        self.lease.grant(witness, number, term, now_s)
         if self.held_since_s is None and self.lease.held(now_s):
             self.held_since_s = now_s
             return True
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -136,6 +136,11 @@
         )
         return self._message(own, self._terms.lease_s, reach_until_s - now_s, number)
 
+    def vouched(self, renewal, witness):
+        """Return a renewal as one witness gets it, with the word on its own grant."""
+        vouched = self._lease.vouches_for(witness, renewal.round)
+        return attrs.evolve(renewal, vouched=vouched)
+
     @property
     def asked(self):
         """Return the witnesses, and those that may become witnesses."""
@@ -163,7 +168,7 @@
         # after the end would join two holds with a gap between them, and a
         # taker may have served in that gap.
         self.tick(now_s)
-        self._lease.grant(witness, number, term)
+        self._lease.grant(witness, number, term, now_s)
         if not self._lease.held(now_s):
             return
         granting = self._lease.terms_now(now_s)
--- a/comfreywharf/ownership/messages.py
+++ b/comfreywharf/ownership/messages.py
@@ -25,7 +25,8 @@
     """A node asks to hold, or go on holding, its own lease.
 
     ``lease_s`` of zero gives the lease up. ``reach_s`` is how far outstanding
-    deadlines reach, from the sending. ``round`` grows with each renewal.
+    deadlines reach, from the sending. ``round`` grows with each renewal. ``vouched``
+    says that a grant of the asked witness still counts at the sending.
     """
 
     owner_id: str
@@ -35,6 +36,7 @@
     lease_s: float
     reach_s: float
     round: int
+    vouched: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/comfreywharf/ownership/quorum.py
+++ b/comfreywharf/ownership/quorum.py
@@ -14,6 +14,7 @@
     reach_until_s: float
     portfolio_epoch: int
     lease_epoch: int
+    vouched: frozenset
 
 
 @attrs.define
@@ -35,10 +36,10 @@
     >>> from comfreywharf.ownership.terms import LeaseTerms
     >>> lease = QuorumLease(LeaseTerms(lease_s=1.0, drift=0.0), [("a", "b", "c")])
     >>> number = lease.begin_round(10.0, reach_until_s=0.0, portfolio_epoch=4)
-    >>> lease.grant("a", number, term=1)
+    >>> lease.grant("a", number, term=1, now_s=10.1)
     >>> lease.held(10.5)
     False
-    >>> lease.grant("b", number, term=1)
+    >>> lease.grant("b", number, term=1, now_s=10.1)
     >>> lease.held(10.5), lease.held(11.0)
     (True, False)
     """
@@ -69,8 +70,9 @@
     def begin_round(self, now_s, reach_until_s, portfolio_epoch, lease_epoch=-1):
         """Note that all witnesses are asked now; return the round's number."""
         self._number += 1
+        vouched = frozenset(self.terms_now(now_s))
         self._rounds[self._number] = _Round(
-            now_s, reach_until_s, portfolio_epoch, lease_epoch
+            now_s, reach_until_s, portfolio_epoch, lease_epoch, vouched
         )
         self._rounds.pop(self._number - KEPT_ROUNDS, None)
         return self._number
@@ -86,13 +88,19 @@
         self._majorities.clear()
         self._rounds.clear()
 
-    def grant(self, witness, number, term):
-        """Count a witness's grant of a round."""
+    def vouches_for(self, witness, number):
+        """Return whether a witness's earlier grant counted when a round was asked."""
+        return witness in self._rounds[number].vouched
+
+    def grant(self, witness, number, term, now_s):
+        """Count a witness's grant of a round that is received now."""
         asked = self._rounds.get(number)
         if asked is None:
             return
         until_s = self._terms.held_until_s(asked.sent_s)
         granted = self._granted.get(witness)
+        if granted is not None and self._too_late_to_vouch(asked, witness, term, now_s):
+            return
         if granted is not None and granted.until_s > until_s:
             return
         self._granted[witness] = _Granted(
@@ -104,6 +112,17 @@
         )
         self._majorities.clear()
 
+    def _too_late_to_vouch(self, asked, witness, term, now_s):
+        """Return whether a restarted witness may have gone by a grant that was over.
+
+        Its earlier process may have granted the lease to a taker after that end. Two
+        nodes would each count this witness; only an answer that comes while the
+        earlier grant still counts shows that it was in force when the witness decided.
+        """
+        granted = self._granted[witness]
+        restarted = term != granted.term
+        return restarted and witness in asked.vouched and now_s >= granted.until_s
+
     def until_s(self):
         """Return when the lease ends, unless it is renewed."""
         return self._majority("until_s", NEVER_S)
--- /dev/null
+++ b/comfreywharf/ownership/tests/test_vouching.py
@@ -0,0 +1,65 @@
+"""Witnesses that restart beside a living owner: what they grant, and what counts."""
+
+import pytest
+
+from comfreywharf.ownership import LeaseTerms
+from comfreywharf.ownership.quorum import QuorumLease
+from comfreywharf.ownership.tests.builders import KEYS, STEP_S, make_world
+
+TERMS = LeaseTerms(lease_s=1.0, drift=0.0)
+GROUP = ("a", "b", "c")
+
+
+def test_witnesses_that_restart_together_leave_a_living_owner_its_keys():
+    """Symptom: the keys of healthy nodes are dark for a lease after a loss of many.
+
+    Sequence: two of an owner's three witnesses are killed and restart at once.
+    Cause: each was silent until all that it might have granted was over, to the
+    owner as well, who knows what they had granted to itself."""
+    world = make_world()
+    key = KEYS[0]
+    owner = world.role("owner", key)
+    witnesses = [world.role(f"witness{index}", key) for index in range(3)]
+    assert world.request(owner, key, 0.1)
+    for node_id in witnesses[:2]:
+        world.nodes[node_id].restart()
+    for _ in range(round(3.0 / STEP_S)):
+        world.run(STEP_S)
+        assert world.request(owner, key, 0.01)
+
+
+def test_a_restarted_witness_tells_nobody_else_sooner():
+    """Its word for the owner isn't one for a taker: to others it stays silent."""
+    world = make_world()
+    key = KEYS[0]
+    owner, standby = world.role("owner", key), world.role("standby", key)
+    witnesses = [world.role(f"witness{index}", key) for index in range(3)]
+    for node_id in {*witnesses} - {standby}:
+        world.nodes[node_id].restart()
+    world.nodes[owner].frozen = True
+    world.run(1.0)
+    assert not world.request(standby, key, 0.1)
+
+
+@pytest.mark.parametrize(
+    ("term", "received_s", "held"),
+    [(2, 10.95, True), (2, 11.05, False), (1, 11.05, True)],
+)
+def test_a_restarted_witness_counts_only_while_its_earlier_grant_does(
+    term, received_s, held
+):
+    """Symptom: an owner and a taker both hold a lease.
+
+    Sequence: the owner's grant ends while its next question is on its way; the
+    witnesses grant the lease to a taker and restart; then the question arrives,
+    with the word that a grant still counts. Cause: that word was true when it was
+    sent, and not any more when the witnesses went by it."""
+    lease = QuorumLease(TERMS, [GROUP])
+    first = lease.begin_round(10.0, 0.0, 0)
+    for witness in GROUP:
+        lease.grant(witness, first, term=1, now_s=10.1)
+    second = lease.begin_round(10.9, 0.0, 0)
+    assert lease.vouches_for("a", second)
+    for witness in GROUP:
+        lease.grant(witness, second, term=term, now_s=received_s)
+    assert lease.held(11.1) is held
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -98,7 +98,10 @@
             and not view.checks_fences
         )
         wait_s = self._wait_s(renewal.owner_id, begins, longest_request_s, now_s)
-        if wait_s > 0:
+        # An owner whose grant by this witness's earlier process still counts tells so:
+        # that process granted the lease to nobody else. Silent to it as well, three
+        # witnesses that restart together would darken a healthy node's keys.
+        if wait_s > 0 and not renewal.vouched:
             return self._deny(Denial.SILENT, wait_s)
         watched = self._lookup(renewal.owner_id)
         if renewal.incarnation < max(view.incarnation, watched.incarnation):
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -707,6 +707,7 @@
      - reach_ms
      - event_clock
      - round
+     - vouched
 
     """
 
@@ -719,10 +720,11 @@
         'reach_ms',
         'event_clock',
         'round',
+        'vouched',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, lease_epoch=None, portfolio_epoch=None, lease_ms=None, reach_ms=None, event_clock=None, round=None,):
+    def __init__(self, node_id=None, incarnation=None, lease_epoch=None, portfolio_epoch=None, lease_ms=None, reach_ms=None, event_clock=None, round=None, vouched=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.lease_epoch = lease_epoch
@@ -731,6 +733,7 @@
         self.reach_ms = reach_ms
         self.event_clock = event_clock
         self.round = round
+        self.vouched = vouched
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -781,6 +784,11 @@
                     self.round = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.vouched = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -823,6 +831,10 @@
             oprot.writeFieldBegin('round', TType.I64, 8)
             oprot.writeI64(self.round)
             oprot.writeFieldEnd()
+        if self.vouched is not None:
+            oprot.writeFieldBegin('vouched', TType.BOOL, 9)
+            oprot.writeBool(self.vouched)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -843,6 +855,8 @@
             raise TProtocolException(message='Required field event_clock is unset!')
         if self.round is None:
             raise TProtocolException(message='Required field round is unset!')
+        if self.vouched is None:
+            raise TProtocolException(message='Required field vouched is unset!')
         return
 
     def __repr__(self):
@@ -2928,6 +2942,7 @@
     (6, TType.I32, 'reach_ms', None, None, ),  # 6
     (7, TType.I64, 'event_clock', None, None, ),  # 7
     (8, TType.I64, 'round', None, None, ),  # 8
+    (9, TType.BOOL, 'vouched', None, None, ),  # 9
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
--- a/comfreywharf/transport/tests/test_clients.py
+++ b/comfreywharf/transport/tests/test_clients.py
@@ -29,6 +29,9 @@
     """
     server, port = start_server()
     client = PeerClient("127.0.0.1", port)
+    # The connection is there by then: where opening it takes all of the time, the
+    # call wasn't sent.
+    client.call("read_body", 0, 0, timeout_s=5)
     with pytest.raises(CallError) as caught:
         client.call("read_body", 1, 100, timeout_s=0.02)
     assert caught.value.sent
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -64,7 +64,8 @@
   5: required i32 lease_ms,
   6: required i32 reach_ms,            // outstanding deadlines, from the sending
   7: required i64 event_clock,
-  8: required i64 round                // grows with each renewal of an incarnation
+  8: required i64 round,               // grows with each renewal of an incarnation
+  9: required bool vouched             // a grant of this witness still counts
 }
 
 struct ClaimRequest {
