Keep a node's witness groups in a module of their own

Cause: agent.py had grown to 527 lines; which witnesses a node writes down in place of others is a subject of its own, and the record of a lease was built in two places. Ruled out: a split by event (renewals and claims share the lease and the table). Before: 527 lines in agent.py; LeaseStarted built twice. After: 459 lines; built once.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -19,18 +19,15 @@
 from comfreywharf.ownership.handover import decide_release
 from comfreywharf.ownership.holder import Holder, OwnLease
 from comfreywharf.ownership.inflight import InFlight
-from comfreywharf.ownership.lostwitnesses import LostWitnesses
 from comfreywharf.ownership.messages import Denial
 from comfreywharf.ownership.slicewatch import SliceWatch
 from comfreywharf.ownership.table import OwnershipTable
-from comfreywharf.ownership.witnesses import choose_witnesses, group_size
+from comfreywharf.ownership.witnessgroups import WitnessGroups
 from comfreywharf.records import (
-    LeaseStarted,
     MoveCompleted,
     SlicesMoved,
     SlicesTaken,
     SliceTake,
-    WitnessesReset,
 )
 
 __all__ = ["OwnershipAgent"]
@@ -74,12 +71,18 @@
         self._claim_not_before_s = {}
         self._acts_until_s = {}
         self._fenced = fenced
-        self.lost_witnesses = LostWitnesses(terms)
+        self._groups = WitnessGroups(node_id, incarnation, terms, self.holder, make_id)
+
+    @property
+    def lost_witnesses(self):
+        """Return what watches whether a majority of the witnesses answers."""
+        return self._groups.lost
 
     def begin(self, incarnation):
         """Take the incarnation that the log's end showed to be a new one."""
         self._incarnation = incarnation
         self.holder.begin(incarnation)
+        self._groups.begin(incarnation)
 
     @property
     def claims(self):
@@ -138,11 +141,11 @@
             reach_until_s = self.inflight.all_until_s(now_s)
             ending = self.holder.let_go(own, reach_until_s, now_s)
             return [SendRenewal(witness, ending) for witness in self.holder.asked]
-        if self.lost_witnesses.waits(own.reset_pending, now_s):
+        if self._groups.lost.waits(own.reset_pending, now_s):
             return []
         if not self.holder.due(now_s) and not (forced and self.holder.asking(now_s)):
             return []
-        witnesses = own.witnesses or self._choose_witnesses(state)
+        witnesses = own.witnesses or self._groups.choose(state)
         if not witnesses or self.holder.phase in ("surrendered", "superseded"):
             return []
         groups = [witnesses, own.earlier_witnesses]
@@ -164,31 +167,13 @@
         return []
 
     def _reset_witnesses(self, state, now_s, may_hold):
-        """Take other witnesses where a majority of them is lost; see the record."""
         own = self.own(state)
-        asking = (
-            may_hold
-            and own.incarnation == self._incarnation
-            and not own.reset_pending
-            and self.holder.phase in ("acquiring", "lapsed", "starting")
-        )
-        wants_probe, wants_reset = self.lost_witnesses.look(
-            own.witnesses, asking, now_s
-        )
+        may_hold = may_hold and own.incarnation == self._incarnation
+        wants_probe, record = self._groups.in_place_of_lost(state, own, may_hold, now_s)
         if wants_probe:
             return [ProbeMembers()]
-        if not wants_reset:
-            return []
-        group = self.lost_witnesses.choose(state, self._node_id)
-        if not group or set(group) == set(own.witnesses):
+        if record is None:
             return []
-        record = WitnessesReset(
-            record_id=self._make_id(),
-            node_id=self._node_id,
-            incarnation=self._incarnation,
-            base_lease_epoch=own.lease_epoch,
-            witnesses=group,
-        )
         return self._append(Purpose(RESET, own.lease_epoch), record, now_s)
 
     def _start(self, state, now_s):
@@ -196,65 +181,19 @@
         if self.holder.phase != "starting":
             return []
         own = self.own(state)
-        if own.earlier_witnesses and not self._earlier_told(own):
+        if own.earlier_witnesses and not self._groups.earlier_told(own):
             return []
-        record = LeaseStarted(
-            record_id=self._make_id(),
-            node_id=self._node_id,
-            incarnation=self._incarnation,
-            base_lease_epoch=own.lease_epoch,
-            witnesses=own.witnesses or self.holder.lease.groups[0],
-        )
+        witnesses = own.witnesses or self.holder.lease.groups[0]
+        record = self._groups.lease_started(own, witnesses)
         return self._append(Purpose(START, self.holder.continuity), record, now_s)
 
     def _replace_witnesses(self, state, now_s):
-        """Replace a silent or leaving witness while a majority still stands.
-
-        Were it kept, the next loss would leave no majority, and the keys of a
-        healthy node would have no owner. The new group is written down only
-        once a majority of it grants already, so that the lease has no gap, and
-        the earlier one is asked as well until it has heard of the new epoch.
-        """
         if not self.holder.owns(now_s):
             return []
         own = self.own(state)
-        if own.earlier_witnesses:
-            self.holder.candidates = ()
-            if not self._earlier_told(own):
-                return []
-            return self._write_witnesses(own, own.witnesses, now_s)
-        unfit = self.holder.silent(now_s) | _leaving(state)
-        few = len(own.witnesses) < group_size(
-            self._terms.witnesses, len(state.members) - 1
-        )
-        if not few and not unfit.intersection(own.witnesses):
-            self.holder.candidates = ()
-            return []
-        kept = set(own.witnesses) - unfit
-        group = self._choose_witnesses(state, kept, unfit)
-        if len(group) <= len(own.witnesses) and not unfit.intersection(own.witnesses):
-            group = ()
-        self.holder.candidates = group
-        if not group or not self.holder.granted_by_majority(group, now_s):
+        record = self._groups.in_place_of_unfit(state, own, now_s)
+        if record is None:
             return []
-        return self._write_witnesses(own, group, now_s)
-
-    def _choose_witnesses(self, state, kept=(), avoided=()):
-        wanted = self._terms.witnesses
-        return choose_witnesses(state, self._node_id, kept, avoided, wanted)
-
-    def _earlier_told(self, own):
-        """Return whether the earlier witnesses refuse claims on the old epoch."""
-        return self.holder.lease.told_lease_epoch() >= own.lease_epoch
-
-    def _write_witnesses(self, own, witnesses, now_s):
-        record = LeaseStarted(
-            record_id=self._make_id(),
-            node_id=self._node_id,
-            incarnation=self._incarnation,
-            base_lease_epoch=own.lease_epoch,
-            witnesses=witnesses,
-        )
         return self._append(Purpose(WITNESSES, own.lease_epoch), record, now_s)
 
     def surrender(self, state, reason, now_s, held_until_s=None):
@@ -518,8 +457,3 @@
         self.table.lease_began(state, now_s)
         self._watch.copy(state)
         self.wake()
-
-
-def _leaving(state):
-    """Return the nodes that are about to leave, which need no longer be asked."""
-    return {m.node_id for m in state.members.values() if m.draining}
--- /dev/null
+++ b/comfreywharf/ownership/witnessgroups.py
@@ -0,0 +1,101 @@
+"""Which witnesses a node writes down in place of lost, silent or leaving ones."""
+
+from comfreywharf.ownership.lostwitnesses import LostWitnesses
+from comfreywharf.ownership.witnesses import choose_witnesses, group_size
+from comfreywharf.records import LeaseStarted, WitnessesReset
+
+__all__ = ["WitnessGroups"]
+
+_ASKING = frozenset({"acquiring", "lapsed", "starting"})
+"""The lease's states in which a node wants a majority and has none."""
+
+
+class WitnessGroups:
+    """Decide on the group of witnesses behind a node's own lease.
+
+    ``holder`` is the `Holder` of that lease; its ``candidates`` are set here.
+    """
+
+    def __init__(self, node_id, incarnation, terms, holder, make_id):
+        self._node_id = node_id
+        self._incarnation = incarnation
+        self._terms = terms
+        self._holder = holder
+        self._make_id = make_id
+        self.lost = LostWitnesses(terms)
+
+    def begin(self, incarnation):
+        """Take the incarnation that the log's end showed to be a new one."""
+        self._incarnation = incarnation
+
+    def choose(self, state, kept=(), avoided=()):
+        """Return a group for a node that has none, or that replaces some."""
+        wanted = self._terms.witnesses
+        return choose_witnesses(state, self._node_id, kept, avoided, wanted)
+
+    def earlier_told(self, own):
+        """Return whether the earlier witnesses refuse claims on the old epoch."""
+        return self._holder.lease.told_lease_epoch() >= own.lease_epoch
+
+    def lease_started(self, own, witnesses):
+        """Return the record by which the lease goes on with a group."""
+        return LeaseStarted(
+            record_id=self._make_id(),
+            node_id=self._node_id,
+            incarnation=self._incarnation,
+            base_lease_epoch=own.lease_epoch,
+            witnesses=witnesses,
+        )
+
+    def in_place_of_lost(self, state, own, may_hold, now_s):
+        """Return ``(wants_probe, record)`` where a majority is lost; see the record.
+
+        The members are to be probed first, and ``record`` is `None` until then.
+        """
+        asking = may_hold and not own.reset_pending and self._holder.phase in _ASKING
+        wants_probe, wants_reset = self.lost.look(own.witnesses, asking, now_s)
+        if wants_probe or not wants_reset:
+            return wants_probe, None
+        group = self.lost.choose(state, self._node_id)
+        if not group or set(group) == set(own.witnesses):
+            return False, None
+        return False, WitnessesReset(
+            record_id=self._make_id(),
+            node_id=self._node_id,
+            incarnation=self._incarnation,
+            base_lease_epoch=own.lease_epoch,
+            witnesses=group,
+        )
+
+    def in_place_of_unfit(self, state, own, now_s):
+        """Return the record that replaces silent or leaving ones, or ``None``.
+
+        Were such a witness kept while a majority still stands, the next loss would
+        leave no majority, and the keys of a healthy node would have no owner. The new
+        group is written down only once a majority of it grants already, so that the
+        lease has no gap, and the earlier one is asked as well until it has heard of
+        the new epoch.
+        """
+        if own.earlier_witnesses:
+            self._holder.candidates = ()
+            told = self.earlier_told(own)
+            return self.lease_started(own, own.witnesses) if told else None
+        self._holder.candidates = group = self._better_group(state, own, now_s)
+        if not group or not self._holder.granted_by_majority(group, now_s):
+            return None
+        return self.lease_started(own, group)
+
+    def _better_group(self, state, own, now_s):
+        """Return a group without unfit witnesses, or with more; else nothing."""
+        unfit = self._holder.silent(now_s) | _leaving(state)
+        some_unfit = not unfit.isdisjoint(own.witnesses)
+        size = group_size(self._terms.witnesses, len(state.members) - 1)
+        if not some_unfit and len(own.witnesses) >= size:
+            return ()
+        group = self.choose(state, set(own.witnesses) - unfit, unfit)
+        return group if some_unfit or len(group) > len(own.witnesses) else ()
+
+
+def _leaving(state):
+    """Return the nodes that are about to leave, which need no longer be asked."""
+    return {m.node_id for m in state.members.values() if m.draining}
