Count no retry where no server heard of the request

Ruled out: forgetting the lost machines sooner (they come back at their addresses). Before: test_members_that_are_gone_use_up_no_retry fails: the second loss ends the request. After: it passes; at most three members that are gone are passed over.

--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -46,6 +46,13 @@
 )
 """Refusals by one member of a service whose other members may serve as well."""
 
+_NO_SERVER_ASKED = frozenset(
+    {Reason.PEER_UNREACHABLE, Reason.NO_BACKEND, Reason.DRAINING}
+)
+"""Of these, the ones that come before any backend server heard of the request: the
+next member isn't a retry. While two of three machines were gone, a third of the
+requests met both of them, and was refused beside a server with room."""
+
 
 @attrs.frozen(kw_only=True)
 class RouteLimits:
@@ -55,7 +62,8 @@
     another owner ends a wait early. ``retry_after_ms`` is told to a caller whose
     key had no owner for all of that time; ``retry_burst`` bounds the retries that
     one node may send at once after a calm time. A request whose owner's server
-    refused it is sent there ``resends`` times more, within the retry budget.
+    refused it is sent there ``resends`` times more, within the retry budget. Up to
+    ``unreached`` members may be gone before one counts as a retry.
     """
 
     holds: int = 48
@@ -66,6 +74,7 @@
     retry_after_ms: int = 1000
     retry_burst: float = 20.0
     resends: int = 0
+    unreached: int = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -97,6 +106,7 @@
     holds: int = 0
     held_since_s: float | None = None
     resends: int = 0
+    unreached: int = 0
 
 
 @attrs.frozen
@@ -161,11 +171,18 @@
         if target:
             return Send(attrs.evolve(trail, target=target))
         return _hold(trail, now_s, deadline_s, limits)
-    if reason in _OTHER_MEMBER_HELPS and other_member and trail.retries_left > 0:
-        retries_left = trail.retries_left - 1
-        trail = attrs.evolve(trail, target=other_member, retries_left=retries_left)
-        return Send(trail, retry=True)
-    return GiveUp()
+    if reason not in _OTHER_MEMBER_HELPS or not other_member:
+        return GiveUp()
+    return _send_to_other(trail, reason, other_member, limits)
+
+
+def _send_to_other(trail, reason, other_member, limits):
+    trail = attrs.evolve(trail, target=other_member)
+    if reason in _NO_SERVER_ASKED and trail.unreached < limits.unreached:
+        return Send(attrs.evolve(trail, unreached=trail.unreached + 1))
+    if trail.retries_left <= 0:
+        return GiveUp()
+    return Send(attrs.evolve(trail, retries_left=trail.retries_left - 1), retry=True)
 
 
 def _not_asked(trail, hint, ownership, limits):
