Tell queue and server time, refusals, and the log's calls by metrics

Cause: operators couldn't tell from metrics whether a late request had waited for a slot or for its server, why admission refused, how old a node's knowledge is, or how often it calls the log: docs/metrics.md listed the last two as missing. Ruled out: histograms of each hop (the ways between nodes are what is left of the whole). Before: no family for any of them.

--- a/comfreywharf/daemon/follower.py
+++ b/comfreywharf/daemon/follower.py
@@ -74,6 +74,11 @@
         """Return the folded state."""
         return self.replica.state
 
+    @property
+    def traffic(self):
+        """Return the `LogTraffic` of this node's client."""
+        return self._client.traffic
+
     @property
     def gap(self):
         """Return whether records are missing that the log no longer has."""
--- a/comfreywharf/daemon/forwarder.py
+++ b/comfreywharf/daemon/forwarder.py
@@ -190,6 +190,7 @@
     def _admit(self, request, body, running):
         """Wait for a slot of the backend server; return a refusal instead of one."""
         reply = None
+        asked_s = boottime_s()
         try:
             running.slot = self._node.load.enter(request, body, running)
             reply = running.slot.refused
@@ -198,7 +199,10 @@
         finally:
             if running.slot is None or reply is not None:
                 self._running.settled(running)
+        metrics, service = self._node.metrics, request.service_name
+        metrics.stage_ended(service, "queue", boottime_s() - asked_s)
         if reply is not None:
+            metrics.not_admitted(service, reply.reason)
             state = self._node.load.admission_state
             self._node.decisions.not_admitted(request, reply, state, boottime_s())
         return None if reply is None else StreamedReply(reply)
@@ -228,8 +232,11 @@
             )
             self._settle()
             return StreamedReply(refusal(Reason.BAD_REQUEST))
+        sent_s = boottime_s()
         try:
             response = self._backend.exchange(request, lines, body, self._running)
+            spent_s = boottime_s() - sent_s
+            self._node.metrics.stage_ended(request.service_name, "server", spent_s)
             return self._reply(response)
         except BackendError as error:
             return self._refuse(error.reason, str(error))
--- a/comfreywharf/daemon/logclient.py
+++ b/comfreywharf/daemon/logclient.py
@@ -7,7 +7,7 @@
 
 from comfreywharf.daemon.http import SingleSendClient
 
-__all__ = ["Batch", "LogBusy", "LogClient", "LogError", "LogTruncated"]
+__all__ = ["Batch", "LogBusy", "LogClient", "LogError", "LogTraffic", "LogTruncated"]
 
 DEFAULT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
@@ -47,6 +47,23 @@
     records: tuple[bytes, ...]
 
 
+@attrs.define
+class LogTraffic:
+    """Calls to the log service by kind, and the bytes of their bodies."""
+
+    calls: dict = attrs.Factory(lambda: {"append": 0, "read": 0})
+    size_bytes: dict = attrs.Factory(lambda: {"sent": 0, "received": 0})
+
+    def called(self, method, body):
+        """Count a call that is made now."""
+        self.calls["append" if method == "POST" else "read"] += 1
+        self.size_bytes["sent"] += len(body)
+
+    def answered(self, data):
+        """Count the body of an answer."""
+        self.size_bytes["received"] += len(data)
+
+
 class LogClient:
     """Append to and read from streams of the log service.
 
@@ -62,6 +79,7 @@
         self._host = host
         self._port = port
         self._timeout_s = timeout_s
+        self.traffic = LogTraffic()
         self._reader = self._make_client()
         self._writer = self._make_client()
 
@@ -116,10 +134,12 @@
 
     def _call(self, client, method, uri, body, timeout_s):
         response = None
+        self.traffic.called(method, body)
         try:
             with gevent.Timeout(timeout_s):
                 response = client.request(method, uri, body)
                 data = response.read()
+            self.traffic.answered(data)
             fields = orjson.loads(data) if data else {}
             return response.status_code, fields, response
         except gevent.Timeout as error:
--- a/comfreywharf/daemon/metering.py
+++ b/comfreywharf/daemon/metering.py
@@ -10,6 +10,8 @@
 __all__ = ["Meter"]
 
 SAMPLE_S = 0.25
+NEVER_AGE_S = 3600.0
+"""What is told as the fold's age where the log never confirmed it."""
 
 _UNSERVED = frozenset(
     reason.value
@@ -90,6 +92,10 @@
             lease_held=held,
             lease_remaining_s=holder.lease.until_s() - now_s if held else 0.0,
             log_reachable=node.follower.reachable,
+            log_calls=dict(node.follower.traffic.calls),
+            log_bytes=dict(node.follower.traffic.size_bytes),
             fold_offset=node.follower.state.next_offset,
+            fold_age_s=min(now_s - node.follower.confirmed_s, NEVER_AGE_S),
             config_version=node.follower.state.config.version,
+            routes_version=node.routes.version,
         )
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -49,6 +49,13 @@
             "latency",
             "Time from a caller's request to the start of its answer",
         ),
+        _family(
+            "stage_duration_seconds",
+            _H,
+            "service stage",
+            "latency",
+            "Time of a request in one stage at its owner: queue or server",
+        ),
         _family(
             "ingress_unavailable_seconds_total",
             _C,
@@ -90,6 +97,13 @@
         _family(
             "backend_slots", _G, "", "queue", "Slots of this node's backend server"
         ),
+        _family(
+            "admission_refusals_total",
+            _C,
+            "service reason",
+            "queue",
+            "Requests that found no slot at this node's backend server, by reason",
+        ),
         _family(
             "waiting_requests",
             _G,
@@ -114,6 +128,23 @@
             "Events of the catalogue that this node reported",
         ),
         _family("log_reachable", _G, "", "log", "1 while the log service answers"),
+        _family(
+            "log_calls_total", _C, "call", "log", "Calls to the log service, by kind"
+        ),
+        _family(
+            "log_bytes_total",
+            _C,
+            "direction",
+            "log",
+            "Bytes of bodies sent to the log service and received from it",
+        ),
+        _family(
+            "fold_age_seconds",
+            _G,
+            "",
+            "fold-lag",
+            "How long ago the log confirmed what this node has folded",
+        ),
         _family("fold_offset", _G, "", "fold-lag", "Offset of the next record to fold"),
         _family(
             "config_version",
@@ -122,5 +153,12 @@
             "fold-lag",
             "Version of the configuration in force here",
         ),
+        _family(
+            "routes_version",
+            _G,
+            "",
+            "fold-lag",
+            "Version of the routes in force here; 0 where there are none",
+        ),
     )
 }
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -43,8 +43,12 @@
     lease_held: bool
     lease_remaining_s: float
     log_reachable: bool
+    log_calls: dict[str, int]
+    log_bytes: dict[str, int]
     fold_offset: int
+    fold_age_s: float
     config_version: int
+    routes_version: int
 
 
 class Metrics:
@@ -53,6 +57,8 @@
     def __init__(self):
         self.requests = defaultdict(int)
         self.durations = defaultdict(Buckets)
+        self.stages = defaultdict(Buckets)
+        self.admission_refusals = defaultdict(int)
         self.outages = Outages()
         self.owner_unavailable_s = defaultdict(float)
         self.slices_moved = defaultdict(int)
@@ -64,6 +70,14 @@
         self.requests[service, outcome, reason] += 1
         self.durations[service].add(duration_s)
 
+    def stage_ended(self, service, stage, duration_s):
+        """Count the time that a request spent in one stage at its owner."""
+        self.stages[service, stage].add(duration_s)
+
+    def not_admitted(self, service, reason):
+        """Count a request that got no slot of the own backend server."""
+        self.admission_refusals[service, reason] += 1
+
     def backend_asked(self, service):
         """Count a request that the own backend server is given."""
         self.backend_requests[service] += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -63,6 +63,7 @@
     return {
         "requests_total": metrics.requests,
         "request_duration_seconds": _single(metrics.durations),
+        "stage_duration_seconds": metrics.stages,
         "ingress_unavailable_seconds_total": _single(metrics.outages.seconds),
         "owner_unavailable_seconds_total": _single(metrics.owner_unavailable_s),
         "slices_moved_total": metrics.slices_moved,
@@ -70,14 +71,19 @@
         "backend_requests_total": _single(metrics.backend_requests),
         "backend_running_requests": _only(gauges.backend_running_requests),
         "backend_slots": _only(gauges.backend_slots),
+        "admission_refusals_total": metrics.admission_refusals,
         "waiting_requests": _only(gauges.waiting_requests),
         "streams": _only(gauges.streams),
         "lease_held": _only(int(gauges.lease_held)),
         "lease_remaining_seconds": _only(gauges.lease_remaining_s),
         "events_total": metrics.events,
         "log_reachable": _only(int(gauges.log_reachable)),
+        "log_calls_total": _single(gauges.log_calls),
+        "log_bytes_total": _single(gauges.log_bytes),
         "fold_offset": _only(gauges.fold_offset),
+        "fold_age_seconds": _only(gauges.fold_age_s),
         "config_version": _only(gauges.config_version),
+        "routes_version": _only(gauges.routes_version),
     }
 
 
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -16,8 +16,12 @@
     lease_held=True,
     lease_remaining_s=0.5,
     log_reachable=True,
+    log_calls={"append": 3, "read": 4},
+    log_bytes={"sent": 300, "received": 4000},
     fold_offset=42,
+    fold_age_s=0.3,
     config_version=2,
+    routes_version=7,
 )
 
 SAMPLE = re.compile(r'[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? [0-9.e+-]+')
@@ -27,6 +31,8 @@
     metrics = Metrics()
     metrics.request_ended(service, "answered", "", 0.004)
     metrics.request_ended(service, "not_run", "no-owner", 9.0)
+    metrics.stage_ended(service, "queue", 0.002)
+    metrics.not_admitted(service, "overloaded")
     metrics.outages.refused(service, 0, 10.0, 10.5)
     metrics.slices_unavailable(service, 5, 0.25)
     metrics.slices_changed(service, True, 5)
--- a/comfreywharf/platform/store.py
+++ b/comfreywharf/platform/store.py
@@ -9,7 +9,13 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.daemon.http import SingleSendClient
-from comfreywharf.daemon.logclient import Batch, LogBusy, LogError, LogTruncated
+from comfreywharf.daemon.logclient import (
+    Batch,
+    LogBusy,
+    LogError,
+    LogTraffic,
+    LogTruncated,
+)
 
 __all__ = ["Newest", "Records", "Store", "StoreLog"]
 
@@ -47,6 +53,7 @@
     """Calls to the store; each raises `LogError` where it has no usable answer."""
 
     def __init__(self, address):
+        self.traffic = LogTraffic()
         make = SingleSendClient
         settings = {"concurrency": CONCURRENCY, "connect_timeout_s": CONNECT_TIMEOUT_S}
         self._client = make(address.host, address.port, **settings)
@@ -109,10 +116,12 @@
 
     def _call(self, method, target, body, timeout_s):
         response = None
+        self.traffic.called(method, body)
         try:
             with gevent.Timeout(timeout_s):
                 response = self._client.request(method, target, body)
                 data = response.read()
+            self.traffic.answered(data)
         except gevent.Timeout as error:
             raise LogError(f"{method}: no answer in {timeout_s} s") from error
         except (OSError, RuntimeError, HTTPParseError) as error:
@@ -161,6 +170,11 @@
     def __init__(self, store):
         self._store = store
 
+    @property
+    def traffic(self):
+        """Return the `LogTraffic` with the store, of whatever part of the node."""
+        return self._store.traffic
+
     def append(self, stream, data):
         """Append a record, or a part of a snapshot; return its offset."""
         if stream.endswith(SNAPSHOT_SUFFIX):
--- a/comfreywharf_dev/standins/fleet.py
+++ b/comfreywharf_dev/standins/fleet.py
@@ -58,6 +58,9 @@
 
     node_id: str
     seeds: tuple[Address, ...]
+    host: str = "127.0.0.1"
+    peer_port: int = 0
+    advertised_peer_port: int = 0
 
 
 class FleetNode:
