Prefer no near server that fails

Cause: a near member without a backend server fails within a millisecond, and only its latency and refusals for want of slots counted against being near. Ruled out: ejection alone (at most half of the members are out). Before: test_a_near_server_in_trouble_is_not_preferred[fails] fails: the near one is chosen. After: it passes.

--- a/comfreywharf/load/choice.py
+++ b/comfreywharf/load/choice.py
@@ -16,7 +16,7 @@
 request at a time at each server, so that costs differ by two or three by chance."""
 
 CROWDED = 0.05
-"""The fraction of refused requests from which on being near counts for nothing."""
+"""The fraction refused or failed from which on being near counts for nothing."""
 
 
 class Chooser(ABC):
@@ -76,12 +76,12 @@
     """A server in this node's failure domain, unless another one is much better.
 
     Bytes between failure domains are paid for, and take longer. A near server that
-    refuses is no better than any: its requests would be sent twice.
+    refuses or fails is no better than any: its requests would be sent twice.
     """
 
     def choose(self, members, chance):
         """Return a near server, or the better of two where none is good enough."""
-        near = [m for m in members if m.near and m.refused_fraction < CROWDED]
+        near = [m for m in members if m.near and _is_well(m)]
         far = [m for m in members if not m.near]
         if not near or not far:
             return super().choose(members, chance)
@@ -90,6 +90,10 @@
         return first if _cost(first) <= NEAR_BONUS * _cost(second) else second
 
 
+def _is_well(member):
+    return member.refused_fraction + member.failure_fraction < CROWDED
+
+
 def _cost(member):
     return member.mean_latency_s * (member.in_flight + 1) / member.weight
 
--- a/comfreywharf/load/tests/test_choice.py
+++ b/comfreywharf/load/tests/test_choice.py
@@ -166,7 +166,7 @@
     assert choices(members) == {"near"}
 
 
-@pytest.mark.parametrize("trouble", ["in flight", "slow", "refuses"])
+@pytest.mark.parametrize("trouble", ["in flight", "slow", "refuses", "fails"])
 def test_a_near_server_in_trouble_is_not_preferred(trouble):
     """Symptom: callers of one domain are refused beside idle servers.
     Sequence: the callers move to one domain; its server has no slot to spare.
@@ -177,8 +177,11 @@
         near.begin()
     if trouble == "slow":
         near.mean_latency_s *= 4
-    if trouble == "refuses":
-        near.crowded()
+    if trouble in ("refuses", "fails"):
+        if trouble == "refuses":
+            near.crowded()
+        else:
+            near.finish(0.001, True)
         assert "far" in choices(members)
         for _ in range(10):
             near.begin()
