--- a/comfreywharf/daemon/members.py
+++ b/comfreywharf/daemon/members.py
@@ -142,10 +142,12 @@
         return known
 
     def _list_members(self, service, known):
+        everyone = self._node.follower.state.members.values()
+        latest = _latest_at_address(everyone)
         entries = [
             entry
-            for entry in self._node.follower.state.members.values()
-            if entry.service == service
+            for entry in everyone
+            if entry.service == service and latest[_address(entry)] is entry
         ]
         members = {}
         own_domain = self._node.settings.failure_domain
@@ -159,6 +161,25 @@
         known.present = [members[e.node_id] for e in entries if not e.draining]
 
 
+def _address(entry):
+    return entry.host, entry.peer_port
+
+
+def _latest_at_address(members):
+    """Return the member at each address: the one that announced itself last.
+
+    An address may be given to another machine before the lost one is forgotten. For
+    ten seconds half of the requests then went to a node beside a server of another
+    service, which could only refuse them.
+    """
+    latest = {}
+    for entry in members:
+        known = latest.get(_address(entry))
+        if known is None or entry.announced_offset > known.announced_offset:
+            latest[_address(entry)] = entry
+    return latest
+
+
 def _failed(reply):
     """Return whether a reply speaks against its member; ``None`` if for neither."""
     if reply is None:
--- /dev/null
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -0,0 +1,46 @@
+"""Among whom a node chooses for a service that isn't divided by key."""
+
+from types import SimpleNamespace
+
+import attrs
+
+from comfreywharf.daemon.members import Members
+from comfreywharf.load import TwoChoices
+from comfreywharf.records.tests.builders import make_member
+
+
+def make_members(*entries):
+    """Return the `Members` of a node that has folded these entries."""
+    state = SimpleNamespace(members={entry.node_id: entry for entry in entries})
+    return Members(
+        SimpleNamespace(
+            settings=SimpleNamespace(node_id="me", failure_domain="z"),
+            incarnation=1,
+            follower=SimpleNamespace(state=state),
+            ports=SimpleNamespace(make_chooser=TwoChoices),
+        )
+    )
+
+
+def entry(node_id, service, host, announced_offset):
+    return attrs.evolve(
+        make_member(node_id),
+        service=service,
+        host=host,
+        announced_offset=announced_offset,
+    )
+
+
+def test_a_member_whose_address_another_one_has_isnt_asked():
+    """Symptom: requests are refused with no-backend for eighteen seconds.
+
+    Sequence: a machine is lost, and its address is given to a machine of another
+    service. Cause: the lost one was still a member, at an address where a node
+    answered that it had no such server."""
+    members = make_members(
+        entry("lost", "files", "10.0.0.4", 5),
+        entry("other", "booking", "10.0.0.4", 9),
+        entry("well", "files", "10.0.0.5", 6),
+    )
+    assert {members.choose("files") for _ in range(20)} == {"well"}
+    assert members.designated("files", "suspect") == "well"
