--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -32,9 +32,11 @@
 MISSED_HEARTBEATS = 1.4
 """After so many intervals without a heartbeat the server's port is tried."""
 
-REPLACE_WITNESS_AFTER_S = 2.0
-"""Machines go for good here, several within seconds; a second loss before the
-first witness is replaced leaves a node without a majority."""
+REPLACE_WITNESS_AFTER_S = 1.2
+"""Counted from the end of a witness's grant, so that it is replaced 2.7 s after it was
+lost. Machines go for good here, three within seconds; the third loss before the first
+two were replaced leaves a node without a majority. With 2.0 s, plays of the heaviest
+days served 0.65 and 0.72 of the worth, with 1.2 s 0.72 and 0.76, with 0.4 s no more."""
 
 WITNESSES = 5
 """Up to three machines go within two seconds. Of three witnesses two are then lost
