Vouch for no request that an earlier process of the node ran

Its owner was killed 0.5 s after the planner had moved the slice; the new process folded the log from its beginning, took the slice's first assignment for news, and released it to the next owner with an empty memory that it vouched for, 1.5 ms before its own lease began. The next owner ran the resend. Before: test_a_new_process_vouches_for_nothing_that_an_earlier_one_ran fails: it vouches for all of the past. After: it passes.

--- a/comfreywharf/ownership/table.py
+++ b/comfreywharf/ownership/table.py
@@ -184,12 +184,19 @@
         A slice that nobody owned has no requests to remember, and a takeover's
         memory began with its claim. For any other, nothing is known of earlier
         requests until a release hands the memory over.
+
+        A process that starts folds the log from its beginning, and meets what an
+        earlier process of its node was given. Taken for news, it would vouch for
+        that process's memory when it releases such a slice, and the next owner
+        would run a booking again that had run there.
         """
         place = (service, after.start)
         if before is None:
             self._vouched_since_s[place] = now_s
-        elif not before.owner:
+        elif not before.owner and self.holder.owns(now_s):
             self._vouched_since_s[place] = WHOLE_S
+        elif not before.owner:
+            self._vouched_since_s[place] = now_s
         elif not self._claimed(service, before):
             self._vouched_since_s[place] = now_s
 
--- a/comfreywharf_dev/standins/cluster.py
+++ b/comfreywharf_dev/standins/cluster.py
@@ -386,6 +386,20 @@
         wait_until(lambda: self._all_owned(service), timeout_s)
         wait_until(lambda: self._all_served(service), timeout_s)
 
+    def wait_members(self, service, count, timeout_s=START_TIMEOUT_S):
+        """Wait until every running node knows so many members of a service."""
+        wait_until(
+            lambda: all(
+                self._member_count(node_id, service) >= count
+                for node_id in self._running()
+            ),
+            timeout_s,
+        )
+
+    def _member_count(self, node_id, service):
+        members = self.state(node_id)["members"]
+        return sum(member["service"] == service for member in members.values())
+
     def wait_guarded(self, service, timeout_s=START_TIMEOUT_S):
         """Wait until a service is owned, and the loss of one owner can be healed.
 
--- a/comfreywharf_dev/standins/tests/test_lying_servers.py
+++ b/comfreywharf_dev/standins/tests/test_lying_servers.py
@@ -15,6 +15,7 @@
     folder = tmp_path_factory.mktemp("lying-servers")
     with Cluster(folder, riga_plans(booking=0, files=3)) as running:
         running.submit(riga_services())
+        running.wait_members("files", 3)
         yield running
 
 
