Tell for which server a grant was meant, and whether anything listened

Cause: a line on a failed grant named no server, and a refused connection looked like a lost answer; that grants are taken again left no line.

--- a/comfreywharf/daemon/range_grants.py
+++ b/comfreywharf/daemon/range_grants.py
@@ -52,6 +52,7 @@
         unknown_s = terms.lease_s * (1 + terms.slow_clock)
         self.book = HoldBook(terms, unknown_until_s=boottime_s() + unknown_s)
         self._met = False
+        self._failing = False
         self._release_timeout_s = release_timeout_s
         self._calls = Pool(MAX_CONCURRENT)
         self._releases = {}
@@ -78,14 +79,35 @@
             return
         self.book.answered(order, answer, boottime_s())
         if answer is not GrantAnswer.TAKEN:
-            self._node.report(
-                "grant_failed", start=order.start, fence=order.fence, why=answer.value
-            )
+            self._tell_failed(backend, order, answer)
+        else:
+            self._tell_taken(backend, order)
         if answer is GrantAnswer.OUTDATED:
             # The server has seen a higher fence than this node's. A new term of
             # the lease takes its number from the log's end, above all earlier.
             self._node.leases.begin_anew("grant outdated")
 
+    def _tell_failed(self, backend, order, answer):
+        self._failing = True
+        self._node.report(
+            "grant_failed",
+            name=backend.announcement.instance,
+            start=order.start,
+            fence=order.fence,
+            why=answer.value,
+        )
+
+    def _tell_taken(self, backend, order):
+        """Tell of the first grant that is taken after others weren't."""
+        if self._failing:
+            self._failing = False
+            self._node.report(
+                "grants_taken_again",
+                name=backend.announcement.instance,
+                start=order.start,
+                fence=order.fence,
+            )
+
     def ensure(self, right, now_s):
         """Have the backend server hold the grant of a `Right` before it is used."""
         if not right.key_hash:
--- a/comfreywharf/daemon/tests/test_range_grants.py
+++ b/comfreywharf/daemon/tests/test_range_grants.py
@@ -37,7 +37,9 @@
         serving=lambda state, now_s: [("booking", PIECE, 10, until_s)]
     )
     node = SimpleNamespace(
-        backend=SimpleNamespace(orders=orders),
+        backend=SimpleNamespace(
+            orders=orders, announcement=SimpleNamespace(instance="i-1")
+        ),
         leases=SimpleNamespace(table=table),
         follower=SimpleNamespace(state=None),
         report=lambda *args, **fields: None,
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -17,12 +17,14 @@
     """What came back for a grant.
 
     ``LOST`` is no answer: the grant may be carried out now, later or never.
+    ``UNREACHABLE`` is one that wasn't sent, since nothing listens at the address.
     """
 
     TAKEN = "taken"
     OUTDATED = "outdated"
     REFUSED = "refused"
     LOST = "lost"
+    UNREACHABLE = "unreachable"
 
 
 @attrs.frozen(kw_only=True)
@@ -200,7 +202,7 @@
             self._handovers.pop(order.place, None)
         elif answer is GrantAnswer.OUTDATED:
             hold.outdated = True
-        elif answer is GrantAnswer.LOST:
+        elif answer in (GrantAnswer.LOST, GrantAnswer.UNREACHABLE):
             # It may still be carried out, seconds from now, behind a release that
             # was sent after it. Only the end of its time ends it for certain.
             slack = 1 + self.terms.slow_clock
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -84,7 +84,10 @@
         }
         if handover:
             fields["handover"] = handover
-        answer = _post(self._grants, "/-/grant", fields, GRANT_TIMEOUT_S)
+        try:
+            answer = _post(self._grants, "/-/grant", fields, GRANT_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return GrantAnswer.UNREACHABLE
         if answer is None:
             return GrantAnswer.LOST
         if answer.status_code == 200:
@@ -96,7 +99,10 @@
     def release(self, first, last, fence, timeout_s):
         """Return what the server hands over, or ``None`` without an answer."""
         fields = {"from": first, "to": last, "fence": fence}
-        answer = _post(self._releases, "/-/release", fields, timeout_s)
+        try:
+            answer = _post(self._releases, "/-/release", fields, timeout_s)
+        except ConnectionRefusedError:
+            return None
         if answer is None or answer.status_code != 200:
             return None
         return answer.get("x-handover", "")
@@ -108,6 +114,10 @@
 
 
 def _post(client, target, fields, timeout_s):
+    """Return the answer, or ``None`` without one.
+
+    Raises `ConnectionRefusedError` where nothing listens: nothing was sent then.
+    """
     response = None
     try:
         with gevent.Timeout(timeout_s):
@@ -117,6 +127,8 @@
             response.read_head()
             response.read(MAX_ANSWER_BYTES)
         return response
+    except ConnectionRefusedError:
+        raise
     except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
         return None
     finally:
