Show that a new life of a server is granted keys under the fence of the one before it

Cause: orders go to an address. A server that begins where another one crashed takes the renewals that were meant for that one. Before: the stand-in's servers kept their connections over a crash, so that no test could tell a connection of an earlier life from one of the next; they end them now.

--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -6,11 +6,12 @@
 import gevent
 import orjson
 from gevent import pywsgi, socket
+from gevent.pool import Pool
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.platform.durations import duration_s
 
-__all__ = ["PlatformServer", "Run"]
+__all__ = ["PlatformServer", "Run", "Taken"]
 
 HEARTBEAT_S = 0.2
 
@@ -25,6 +26,16 @@
     began_s: float
 
 
+@attrs.frozen
+class Taken:
+    """One grant that a server took."""
+
+    instance: str
+    first: int
+    last: int
+    fence: int
+
+
 @attrs.define
 class _Held:
     first: int
@@ -37,7 +48,8 @@
     """A server that holds keys by grants and writes each run on a shared ledger.
 
     ``work_s`` is how long a request takes. With ``lose_grants`` the next so many
-    grants are carried out ``late_s`` later and never answered.
+    grants are carried out ``late_s`` later and never answered. ``taken`` lists the
+    grants of all its lives. While it is ``mute``, it sends no heartbeats.
     """
 
     def __init__(self, name, service, ledger, work_s=0.0):
@@ -52,13 +64,19 @@
         self.headers = []
         self.held = []
         self.refused_grants = 0
+        self.taken = []
         self.state = "ready"
+        self.mute = False
         self._highest = [-1] * 65536
         self._sequence = 0
         self._working = 0
-        self._server = pywsgi.WSGIServer(("127.0.0.1", 0), self._answer, log=None)
+        self._server = self._make_server(0)
         self._beating = None
 
+    def _make_server(self, port):
+        address = ("127.0.0.1", port)
+        return pywsgi.WSGIServer(address, self._answer, log=None, spawn=Pool())
+
     def start(self, heartbeat_port):
         """Listen, and send heartbeats to a node's port."""
         self._server.start()
@@ -74,13 +92,21 @@
         gevent.kill(self._beating)
         self._server.stop(timeout=0)
 
-    def begin_anew(self, instance):
-        """Go on as another instance, as after a crash that nobody noticed."""
-        self.instance = instance
+    def crash(self):
+        """End at once: connections end, nothing listens, and nothing is kept."""
+        self._server.stop(timeout=0)
         self.held = []
         self._highest = [-1] * 65536
         self._sequence = 0
 
+    def begin_anew(self, instance):
+        """Go on as another instance at the same address, as after a crash."""
+        port = self.port
+        self.crash()
+        self.instance = instance
+        self._server = self._make_server(port)
+        self._server.start()
+
     def holds(self, key):
         """Return whether the server holds a key now."""
         now_s = boottime_s()
@@ -100,7 +126,8 @@
                 "sequence": self._sequence,
             }
             with contextlib.suppress(OSError):
-                post(port, f"/-/instances/{self.instance}/heartbeat", fields)
+                if self._server.started and not self.mute:
+                    post(port, f"/-/instances/{self.instance}/heartbeat", fields)
             gevent.sleep(HEARTBEAT_S)
 
     def _answer(self, environ, start_response):
@@ -134,6 +161,7 @@
         self._drop(first, last)
         until_s = arrived_s + duration_s(fields["hold_time"])
         self.held.append(_Held(first, last, fence, until_s))
+        self.taken.append(Taken(self.instance, first, last, fence))
         return True
 
     def _drop(self, first, last):
