--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -254,6 +254,15 @@
             elif silent_s > self.ports.doubt_s and self.backend.refuses():
                 self.backend_lost("refused")
 
+    def backend_refused(self, backend):
+        """Give up a backend server whose port refused an order, if it still does.
+
+        Unlike one that is also silent it isn't done with: its next heartbeat brings
+        it back, since a server that begins may speak before it listens.
+        """
+        if backend is self.backend and backend.refuses() and backend is self.backend:
+            self._let_go("refused")
+
     def backend_lost(self, reason):
         """Give up the keys of a backend server that doesn't serve any more."""
         if self.backend is not None:
--- a/comfreywharf/daemon/range_grants.py
+++ b/comfreywharf/daemon/range_grants.py
@@ -99,12 +99,19 @@
         return list(table.serving(state, boottime_s()))
 
     def _reach(self, backend):
-        """Return the number of the process that grants would reach, or zero."""
+        """Return the number of the process that grants would reach, or zero.
+
+        A refused connection shows at once that the server is dead. Waited for until
+        its heartbeats are missed, its keys would be dark for two seconds more.
+        """
         try:
             return backend.orders.reach()
+        except ConnectionRefusedError:
+            self._node.backend_refused(backend)
         except OSError:
             # Neither dead nor alive: the next push asks again.
             return 0
+        return 0
 
     def _meet(self, backend, process):
         met = (backend, process)
--- a/comfreywharf/platform/tests/test_lives.py
+++ b/comfreywharf/platform/tests/test_lives.py
@@ -29,6 +29,20 @@
     assert repeated_fences(server.taken, first) == []
 
 
+def test_the_keys_of_a_dead_server_are_served_before_its_heartbeats_are_missed(
+    deployment,
+):
+    """Symptom: keys are dark for two seconds after a crash, while hundreds of requests
+    to the server are refused at connecting.
+    Sequence: a server crashes, and nothing listens at its port.
+    Cause: only missed heartbeats led to a look at the port."""
+    name = deployment.holder(7)
+    deployment.nodes[name].ports.doubt_s = float("inf")
+    deployment.servers[name].crash()
+    wait_for(lambda: deployment.holder(7) not in (None, name))
+    wait_for(lambda: deployment.ask(deployment.elsewhere(7)).status == 200)
+
+
 def test_a_server_whose_connections_are_all_reset_keeps_its_keys_under_higher_fences(
     deployment,
 ):
