Name a life of a server by its id and its start

Cause: a server may start again under the id that it had, and says when it began. A life was known by its id alone: its heartbeats, counted anew, passed for late ones of the life before, so that it couldn't leave, and was never used again once its port had refused. Ruled out: asking the server's health for its life; it tells the id only. The ports that tests of the platform take are apart for each worker now: two workers had the same in one of some twenty runs.

--- a/comfreywharf/daemon/backend.py
+++ b/comfreywharf/daemon/backend.py
@@ -10,6 +10,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.http import SingleSendClient, shut_down
+from comfreywharf.membership.lives import Life
 from comfreywharf.routing import Reason
 
 __all__ = ["Announcement", "Backend", "BackendError", "CancelReply"]
@@ -32,6 +33,12 @@
     connections: int
     checks_fences: bool
     instance: str
+    born_ms: int | None = None
+
+    @property
+    def life(self):
+        """Return the life of the server that says it."""
+        return Life(self.instance, self.born_ms)
 
 
 @attrs.frozen(kw_only=True)
@@ -144,7 +151,7 @@
             # A server that was restarted at the same port knows nothing of what
             # the process before it ran. Its "not run" would have the request run
             # again, and one would see a booking twice under one request id.
-            if document.get("instance") != self.announcement.instance:
+            if not self.announcement.life.is_named(document.get("instance")):
                 return CancelReply()
             return CancelReply(
                 confirmed=response.status_code == 200
--- a/comfreywharf/daemon/backend_life.py
+++ b/comfreywharf/daemon/backend_life.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.draining import tell_draining
 from comfreywharf.membership.instances import Instances, Word
 
@@ -29,23 +30,29 @@
 
     def heard(self, announcement, sequence, leaving):
         """Take a heartbeat."""
-        instance = announcement.instance
-        word = self._instances.hear(instance, sequence, leaving)
+        life = announcement.life
+        word = self._instances.hear(life, sequence, leaving, boottime_s())
         if word is Word.FIRST:
             self._begin(announcement)
             if leaving:
-                word = self._instances.leave(instance)
+                word = self._instances.leave(life)
             gevent.spawn(self._verify, announcement, sequence)
-        elif word is Word.RIVAL:
+        elif word is Word.RIVAL and self._instances.living.began_before(life):
+            # Nobody need be asked: it began after the living one, under its id.
+            self._instances.begin(life, sequence, boottime_s())
+            self._begin(announcement)
+            if leaving:
+                word = self._instances.leave(life)
+        elif word is Word.RIVAL or (word is Word.SAME and self._node.backend is None):
             gevent.spawn(self._verify, announcement, sequence)
         elif word is Word.SAME:
             self._node.backend_announced(self._announced)
         if word is Word.LEAVES:
             self._leave()
 
-    def leaves(self, instance):
+    def leaves(self, life):
         """Take the word of a server that it leaves, or has left."""
-        if self._instances.leave(instance) is Word.LEAVES:
+        if self._instances.leave(life) is Word.LEAVES:
             self._leave()
 
     def lost(self):
@@ -58,39 +65,46 @@
         gevent.spawn(self._return)
 
     def _verify(self, announcement, sequence):
-        """Ask who is there before an instance takes another one's place."""
-        instance = announcement.instance
-        if instance in self._verifying:
+        """Ask who is there before a life takes another one's place.
+
+        A life that shares its id with the living one answers like that one; its later
+        start is what tells them apart.
+        """
+        life = announcement.life
+        if life in self._verifying:
             return
-        self._verifying.add(instance)
+        self._verifying.add(life)
         try:
             found = self._node.ports.identify(self._node, announcement)
         finally:
-            self._verifying.discard(instance)
-        if found == instance:
-            if self._instances.living != instance:
-                self._instances.begin(instance, sequence)
+            self._verifying.discard(life)
+        if life.is_named(found):
+            if self._instances.living != life:
+                self._instances.begin(life, sequence, boottime_s())
                 self._begin(announcement)
-        elif found and self._instances.living == instance:
+            elif self._node.backend is None and not self._instances.leaving:
+                # It was given up since its port refused, and it is there after all.
+                self._node.backend_announced(self._announced)
+        elif found and self._instances.living == life:
             self._node.backend_lost("another instance answers")
 
     def _leave(self):
-        self._node.report("backend_leaves", name=self._instances.living)
+        self._node.report("backend_leaves", name=self._instances.living.instance)
         gevent.spawn(self._drain, self._instances.living)
 
-    def _drain(self, instance):
+    def _drain(self, life):
         """Have the log say that the server leaves; end its work in time anyway.
 
         Whether the log can be reached or not, the promise to the server holds:
         after the bound this node gives it nothing more.
         """
-        gevent.spawn(self._tell_leaving, instance)
+        gevent.spawn(self._tell_leaving, life)
         gevent.sleep(self._drain_s - DRAIN_MARGIN_S)
-        if self._instances.living == instance and self._instances.leaving:
+        if self._instances.living == life and self._instances.leaving:
             self._node.close_to_new_work()
 
-    def _tell_leaving(self, instance):
-        while self._instances.living == instance and self._instances.leaving:
+    def _tell_leaving(self, life):
+        while self._instances.living == life and self._instances.leaving:
             if tell_draining(self._node, True):
                 return
             gevent.sleep(RETRY_S)
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -22,6 +22,10 @@
 
 _GIVEN = set()
 
+FIRST_PORT = 12_000
+WORKERS = 10
+PORTS_OF_A_WORKER = 2_000
+
 BOOT = """\
 grants=direct
 self.node={name}
@@ -122,9 +126,15 @@
 def free_ports():
     """Return six ports in a row that were free a moment ago.
 
-    They lie below those that the system gives to outgoing connections.
+    They lie below those that the system gives to outgoing connections. Each worker of
+    the tests has a region of its own: another one's could be free when they are looked
+    at, and taken when a node listens.
     """
-    for first in range(12_000 + os.getpid() % 1500 * 10, 32_000, 7):
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % WORKERS
+    first_port = FIRST_PORT + worker * PORTS_OF_A_WORKER
+    skipped = os.getpid() % 100 * 7
+    last_port = first_port + PORTS_OF_A_WORKER
+    for first in range(first_port + skipped, last_port - 6, 7):
         with contextlib.ExitStack() as stack:
             try:
                 for port in range(first, first + 6):
--- a/comfreywharf/platform/tests/test_lives.py
+++ b/comfreywharf/platform/tests/test_lives.py
@@ -1,8 +1,10 @@
 """Servers that crash and are back at their address, as another life."""
 
 import gevent
+import pytest
 
 from comfreywharf.platform.tests.builders import wait_for
+from comfreywharf_dev.standins.platform_server import post
 
 
 def test_a_new_life_is_never_granted_what_an_earlier_one_had_under_its_fence(
@@ -18,15 +20,58 @@
     nothing but refused connections for the second before it."""
     name = deployment.holder(7)
     server = deployment.servers[name]
-    first = server.instance
     server.mute = True
     server.begin_anew("i-second")
     gevent.sleep(2.0)
     server.mute = False
     wait_for(lambda: deployment.nodes[name].backend is not None)
-    wait_for(lambda: any(t.instance == "i-second" for t in server.taken))
+    wait_for(lambda: server.taken_by_this_life())
     wait_for(deployment.settled)
-    assert repeated_fences(server.taken, first) == []
+    assert repeated_fences(server.taken) == []
+
+
+def test_a_server_that_began_again_under_its_id_can_still_leave(deployment):
+    """Symptom: a leaving server gets new work until it is gone.
+    Sequence: a server crashes and begins again under its id, counting its heartbeats
+    anew; then it says that it drains.
+    Cause: a life was known by its id alone, and its low numbers were those of late
+    heartbeats."""
+    name = deployment.holder(7)
+    server = deployment.servers[name]
+    wait_for(lambda: server.beats > 10)
+    server.begin_anew(server.instance)
+    wait_for(lambda: server.taken_by_this_life())
+    wait_for(deployment.settled)
+    server.state = "draining"
+    wait_for(lambda: deployment.nodes[name].closed_to_new_work, timeout_s=4.0)
+
+
+@pytest.mark.parametrize("born", ["1", True, 1.0, 1.5, -1, [], {}])
+def test_a_heartbeat_with_a_damaged_start_names_no_server(deployment, born):
+    """Symptom: a good server's heartbeats are refused from then on.
+    Sequence: one whose start is of another type is taken, and compared with the next.
+    Cause: the start was taken as it came."""
+    name = deployment.holder(7)
+    server = deployment.servers[name]
+    fields = {**server.word(), "born": born, "sequence": 10**6}
+    port = deployment.ports[name][3]
+    assert post(port, f"/-/instances/{server.instance}/heartbeat", fields) == 400
+    assert deployment.nodes[name].backend.announcement.life == server.life
+
+
+def test_a_late_deregistration_of_an_earlier_life_changes_nothing(deployment):
+    """Symptom: a server that has just begun gets no work.
+    Sequence: the deregistration of the life before it was held up on its way.
+    Cause: it was taken for that of whichever life has the id."""
+    name = deployment.holder(7)
+    server = deployment.servers[name]
+    path = f"/-/instances/{server.instance}/deregister"
+    port = deployment.ports[name][3]
+    assert post(port, path, {"born": server.born_ms - 500}) == 200
+    gevent.sleep(2.2)
+    assert not deployment.nodes[name].closed_to_new_work
+    assert post(port, path, {"born": server.born_ms}) == 200
+    wait_for(lambda: deployment.nodes[name].closed_to_new_work)
 
 
 def test_the_keys_of_a_dead_server_are_served_before_its_heartbeats_are_missed(
@@ -62,17 +107,14 @@
     assert server.refused_grants == 0
 
 
-def repeated_fences(taken, first):
-    """Return the grants of later lives whose fence isn't above all of the first's."""
-    earlier = [grant for grant in taken if grant.instance == first]
+def repeated_fences(taken):
+    """Return the grants whose fence isn't above all of another, earlier life's."""
     return [
         later
-        for later in taken
-        if later.instance != first
-        and any(
-            later.fence <= grant.fence
-            and later.first <= grant.last
-            and grant.first <= later.last
-            for grant in earlier
-        )
+        for place, later in enumerate(taken)
+        for earlier in taken[:place]
+        if later.life != earlier.life
+        and later.fence <= earlier.fence
+        and later.first <= earlier.last
+        and earlier.first <= later.last
     ]
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -9,9 +9,10 @@
 from gevent.pool import Pool
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.membership.lives import Life
 from comfreywharf.platform.durations import duration_s
 
-__all__ = ["PlatformServer", "Run", "Taken"]
+__all__ = ["PlatformServer", "Run", "Taken", "post"]
 
 HEARTBEAT_S = 0.2
 
@@ -28,9 +29,9 @@
 
 @attrs.frozen
 class Taken:
-    """One grant that a server took."""
+    """One grant that a life of a server took."""
 
-    instance: str
+    life: Life
     first: int
     last: int
     fence: int
@@ -49,7 +50,8 @@
 
     ``work_s`` is how long a request takes. With ``lose_grants`` the next so many
     grants are carried out ``late_s`` later and never answered. ``taken`` lists the
-    grants of all its lives. While it is ``mute``, it sends no heartbeats.
+    grants of all its lives, and ``misdirected`` counts the requests for keys that it
+    didn't hold. While it is ``mute``, it sends no heartbeats.
     """
 
     def __init__(self, name, service, ledger, work_s=0.0):
@@ -64,10 +66,12 @@
         self.headers = []
         self.held = []
         self.refused_grants = 0
+        self.misdirected = 0
         self.taken = []
         self.state = "ready"
         self.mute = False
         self._highest = [-1] * 65536
+        self.born_ms = 1_000
         self._sequence = 0
         self._working = 0
         self._server = self._make_server(0)
@@ -104,31 +108,54 @@
         self._server.pool.kill()
 
     def begin_anew(self, instance):
-        """Go on as another instance at the same address, as after a crash."""
+        """Go on as another life at the same address, as after a crash.
+
+        It may have the id that it had; its start tells the lives apart.
+        """
         port = self.port
         self.crash()
         self.instance = instance
+        self.born_ms += 1_000
         self._server = self._make_server(port)
         self._server.start()
 
+    @property
+    def life(self):
+        """Return what names its present life."""
+        return Life(self.instance, self.born_ms)
+
+    @property
+    def beats(self):
+        """Return how many heartbeats its present life began to send."""
+        return self._sequence
+
+    def taken_by_this_life(self):
+        """Return the grants that its present life took."""
+        return [grant for grant in self.taken if grant.life == self.life]
+
     def holds(self, key):
         """Return whether the server holds a key now."""
         now_s = boottime_s()
         return any(h.first <= key <= h.last and now_s < h.until_s for h in self.held)
 
+    def word(self):
+        """Return what its next heartbeat says."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "z",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldRemaining": "0ms",
+            "sequence": self._sequence,
+            "born": self.born_ms,
+        }
+
     def _beat(self, port):
         while True:
             self._sequence += 1
-            fields = {
-                "service": self.service,
-                "address": f"127.0.0.1:{self.port}",
-                "zone": "z",
-                "version": "v1",
-                "slots": 8,
-                "state": self.state,
-                "coldRemaining": "0ms",
-                "sequence": self._sequence,
-            }
+            fields = self.word()
             with contextlib.suppress(OSError):
                 if self._server.started and not self.mute:
                     post(port, f"/-/instances/{self.instance}/heartbeat", fields)
@@ -165,7 +192,7 @@
         self._drop(first, last)
         until_s = arrived_s + duration_s(fields["hold_time"])
         self.held.append(_Held(first, last, fence, until_s))
-        self.taken.append(Taken(self.instance, first, last, fence))
+        self.taken.append(Taken(self.life, first, last, fence))
         return True
 
     def _drop(self, first, last):
@@ -191,6 +218,7 @@
             return _respond(start_response, 421, headers)
         text = environ.get("HTTP_X_SHARD_KEY")
         if text is not None and not self.holds(int(text)):
+            self.misdirected += 1
             headers.append(("X-Not-Executed", "1"))
             return _respond(start_response, 421, headers)
         request_id = environ["HTTP_X_ATTEMPT_ID"]
