--- a/comfreywharf/ownership/tests/lives_model.py
+++ b/comfreywharf/ownership/tests/lives_model.py
@@ -20,284 +20,30 @@
 delay is one step and no trouble.
 """
 
-import functools
-
 import attrs
 
 from comfreywharf.ownership.bond import ProcessBond
-from comfreywharf.ownership.holds import GrantAnswer, HoldBook, HoldTerms
-from comfreywharf.records import Slice
-from comfreywharf.records.state import ClusterState, Member
-
-__all__ = ["Breach", "Limits", "World", "search"]
-
-SERVICE = "booking"
-END = 1000
-PLACE = (SERVICE, 0, END)
-LEASE = 2
-TERMS = HoldTerms(
-    lease_s=LEASE, longest_s=LEASE, slow_clock=0.0, renew_part=0.5, shortest_s=1
+from comfreywharf.ownership.holds import GrantAnswer, HoldBook
+from comfreywharf.ownership.tests.lives_parts import (
+    LEASE,
+    LONG_AGO,
+    NAMES,
+    PLACE,
+    SERVICE,
+    TERMS,
+    UNAWAITED,
+    Breach,
+    Life,
+    Limits,
+    Node,
+    Sending,
+    copy_book,
+    fences,
+    other,
+    slice_of,
 )
-NAMES = ("a", "b")
-LONG_AGO = float("-inf")
-UNAWAITED = 0
-
-
-class Breach(Exception):
-    """The rule on owners was broken."""
-
-
-@attrs.frozen(kw_only=True)
-class Limits:
-    """How large the world gets. ``lives`` are those of each address.
-
-    With nodes that aren't ``detailed`` all goes well: their servers don't crash, no
-    connection is reset, and each order is answered at once.
-    """
-
-    steps: int
-    troubles: int
-    ticks: int = 4
-    lives: tuple[int, int] = (3, 2)
-    connections: int = 2
-    detailed: tuple[str, ...] = NAMES
-    restarts: bool = True
-
-
-def other(name):
-    """Return the other node."""
-    return "b" if name == "a" else "a"
-
-
-@functools.lru_cache(maxsize=1 << 16)
-def fences(epoch, owner, standby, lease_epochs):
-    """Return the fences of a slice's owner and of its taker, as the fold has them."""
-    members = {
-        name: Member(
-            node_id=name,
-            incarnation=1,
-            host="",
-            caller_port=0,
-            peer_port=0,
-            operator_port=0,
-            failure_domain="",
-            region="",
-            lease_epoch=lease_epoch,
-        )
-        for name, lease_epoch in zip(NAMES, lease_epochs, strict=True)
-    }
-    state = ClusterState(members=members)
-    piece = Slice(start=0, end=END, owner=owner, standby=standby, epoch=epoch)
-    return state.fence(piece), state.takeover_fence(piece)
-
-
-@functools.lru_cache(maxsize=1 << 12)
-def slice_of(epoch):
-    """Return the slice that orders are decided for."""
-    return Slice(start=0, end=END, owner="a", epoch=epoch)
-
-
-@attrs.define(kw_only=True)
-class Sending:
-    """An order of a node: decided on, then sent on a connection."""
-
-    order: object
-    process: int
-    serial: int
-    connection: int = -1
-    asked: int = -1
-    answer: GrantAnswer | None = None
-
-    def copy(self):
-        return Sending(
-            order=self.order,
-            process=self.process,
-            serial=self.serial,
-            connection=self.connection,
-            asked=self.asked,
-            answer=self.answer,
-        )
-
-
-def copy_bond(bond):
-    """Return an equal bond that goes its own way."""
-    copied = type(bond)()
-    for name, value in vars(bond).items():
-        setattr(copied, name, value.copy() if hasattr(value, "copy") else value)
-    return copied
-
-
-def copy_hold(hold):
-    """Return an equal hold that goes its own way."""
-    return type(hold)(
-        start=hold.start,
-        end=hold.end,
-        fence=hold.fence,
-        taken_until_s=hold.taken_until_s,
-        maybe_until_s=hold.maybe_until_s,
-        lost_until_s=hold.lost_until_s,
-        asking=hold.asking,
-        outdated=hold.outdated,
-    )
-
-
-def copy_book(book):
-    """Return an equal book that goes its own way."""
-    copied = HoldBook(book.terms, book.unknown_until_s)
-    copied._highest_fence = book._highest_fence
-    copied._used_fence = book._used_fence
-    copied._holds = {place: copy_hold(hold) for place, hold in book._holds.items()}
-    copied._earlier = {
-        service: [copy_hold(hold) for hold in holds]
-        for service, holds in book._earlier.items()
-    }
-    copied._stopped = dict(book._stopped)
-    return copied
-
-
-def book_key(book, now):
-    """Return a book as a value."""
-    earlier = sum(book._earlier.values(), [])
-    return (
-        book._highest_fence,
-        book._used_fence,
-        max(0, book.unknown_until_s - now),
-        tuple(book._stopped.values()),
-        tuple(hold_key(hold, now) for hold in book._holds.values()),
-        tuple(hold_key(hold, now) for hold in earlier),
-    )
-
-
-def hold_key(hold, now):
-    """Return a hold as a value."""
-    return (
-        hold.fence,
-        max(0, hold.taken_until_s - now),
-        max(0, hold.maybe_until_s - now),
-        max(0, hold.lost_until_s - now),
-        hold.asking,
-        hold.outdated,
-    )
-
-
-@attrs.define(kw_only=True)
-class Life:
-    """One process of a server. ``inbox`` has ``(serial, fence, until)`` of orders."""
-
-    number: int
-    highest: int = -1
-    had: int = -1
-    held_until: float = LONG_AGO
-    inbox: tuple = ()
-
-    def copy(self):
-        return Life(
-            number=self.number,
-            highest=self.highest,
-            had=self.had,
-            held_until=self.held_until,
-            inbox=self.inbox,
-        )
-
-    def key(self, now):
-        return (
-            self.highest,
-            self.had,
-            max(0, self.held_until - now),
-            tuple((s, fence, max(0, until - now)) for s, fence, until in self.inbox),
-        )
-
-
-@attrs.define(kw_only=True)
-class Node:
-    """A node: its lease, its book, and its connections to the server beside it.
-
-    ``connections`` says to which life each one leads. ``known`` is the life
-    that was announced, ``None`` while the server is given up.
-    """
-
-    book: HoldBook
-    bond: ProcessBond = attrs.Factory(ProcessBond)
-    connections: dict = attrs.Factory(dict)
-    sendings: list = attrs.Factory(list)
-    met: object = None
-    known: int | None = 1
-    held: bool = True
-    lease_until: float = LEASE
-    lease_epoch: int = 0
-    lingering: int = -1
-    claims: bool = False
-    stopped: int = -1
-    released: bool = False
-    fresh: bool = False
-    written: tuple = (None, None)
-
-    def copy(self):
-        return Node(
-            book=copy_book(self.book),
-            bond=copy_bond(self.bond),
-            connections=dict(self.connections),
-            sendings=[sending.copy() for sending in self.sendings],
-            met=self.met,
-            known=self.known,
-            held=self.held,
-            lease_until=self.lease_until,
-            lease_epoch=self.lease_epoch,
-            lingering=self.lingering,
-            claims=self.claims,
-            stopped=self.stopped,
-            released=self.released,
-            fresh=self.fresh,
-        )
-
-    def key(self, now):
-        """Return the state as a value; it is kept, since few steps change a node."""
-        if self.written[0] != now:
-            self.written = (now, self._key(now))
-        return self.written[1]
 
-    def _key(self, now):
-        return (
-            self.known,
-            None if self.met is None else self.met == self.bond.process,
-            self.held,
-            max(0, self.lease_until - now),
-            self.lease_epoch,
-            self.lingering,
-            self.claims,
-            self.stopped,
-            self.released,
-            self.fresh,
-            book_key(self.book, now),
-            self._bond_key(),
-            tuple(self.connections.items()),
-            tuple(self._sending_key(sending, now) for sending in self.sendings),
-        )
-
-    def _bond_key(self):
-        opened = [(moment, c) for c, moment in self.bond._opened.items()]
-        asked = [(sending.asked, -sending.serial) for sending in self.sendings]
-        order = tuple(number for _, number in sorted(opened + asked))
-        return order, frozenset(self.bond._known)
-
-    def _sending_key(self, sending, now):
-        order = sending.order
-        return (
-            sending.serial,
-            sending.process == self.bond.process,
-            sending.connection,
-            sending.answer and sending.answer.value,
-            order.fence,
-            order.lease_until_s - now,
-            order.until_s - now,
-            order.hold_s,
-        )
-
-    @property
-    def idle(self):
-        """Return the connections on which no answer is awaited."""
-        busy = [sending.connection for sending in self.sendings]
-        return [number for number in self.connections if number not in busy]
+__all__ = ["Breach", "Limits", "World", "search"]
 
 
 class Event:
