Ask for no lease that was given up for good while it began anew

Cause: a lease that begins anew is given up first, and asked for again. A server that left in that moment gave it up as well, and the node asked for it all the same: keys dark at a leaving server. Found by reading the change. Ruled out: that the leaving is repeated; it comes once. Before: the new test failed (one run). The one on an outage of the store fails without its mechanism (one run). After: both pass.

--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/leases.py
@@ -208,6 +208,7 @@
 
         ``held_until_s`` is when the last grant of a living backend server ends.
         """
+        self._anew = ""
         state = self._node.follower.state
         self.carry_out(self.agent.surrender(state, reason, boottime_s(), held_until_s))
 
@@ -233,7 +234,9 @@
         if self.holder.phase == "surrendered" and reachable:
             self.agent.recover()
         elif self.holder.phase == "starting" and not reachable:
-            self.surrender(self._anew)
+            reason = self._anew
+            self.surrender(reason)
+            self._anew = reason
         elif self.holder.phase == "held":
             self._anew = ""
 
--- a/comfreywharf/platform/tests/test_lives.py
+++ b/comfreywharf/platform/tests/test_lives.py
@@ -107,6 +107,34 @@
     assert server.refused_grants == 0
 
 
+def test_keys_whose_lease_cant_begin_anew_are_served_by_a_standby(deployment):
+    """Symptom: keys are dark for as long as the store is away.
+    Sequence: the store is away; a server's connections are all reset, so that its node
+    may grant nothing more under the fences it has, and a new lease needs a record.
+    Cause: the node went on asking its witnesses for the lease that it couldn't write
+    down, and they let no standby claim it."""
+    deployment.store.fault = "busy"
+    nodes = deployment.nodes.values()
+    wait_for(lambda: not any(node.follower.reachable for node in nodes))
+    name = deployment.holder(7)
+    deployment.servers[name].reset_connections()
+    wait_for(lambda: deployment.holder(7) not in (None, name))
+    wait_for(lambda: deployment.ask(deployment.elsewhere(7)).status == 200)
+
+
+def test_a_server_that_leaves_while_its_lease_begins_anew_gets_it_no_more(deployment):
+    """Symptom: keys are dark at a leaving server. Sequence: its lease begins anew, and
+    before it is held again the server leaves, so that the node gives the lease up.
+    Cause: that passed for the surrender with which a lease begins anew."""
+    name = deployment.holder(7)
+    node = deployment.nodes[name]
+    node.leases.begin_anew("test")
+    node.close_to_new_work()
+    gevent.sleep(0.5)
+    assert node.leases.holder.phase == "surrendered"
+    wait_for(lambda: deployment.holder(7) not in (None, name))
+
+
 def repeated_fences(taken):
     """Return the grants whose fence isn't above all of another, earlier life's."""
     return [
