Tell the witnesses what still runs when a lease can't begin anew

By reading: where the store went away between the surrender and the new lease's record, the lease was given up a second time, without the end of the grants that ran. Ruled out: two lives under one fence; the two fences differ and are of two servers. After: the tests of lives pass.

--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/leases.py
@@ -234,8 +234,13 @@
         if self.holder.phase == "surrendered" and reachable:
             self.agent.recover()
         elif self.holder.phase == "starting" and not reachable:
-            reason = self._anew
-            self.surrender(reason)
+            # What the server was granted before may still run: told of no hold, a
+            # standby's server would have the keys beside it for a second.
+            reason, held_until_s = (
+                self._anew,
+                self._node.grants.held_until_s(boottime_s()),
+            )
+            self.surrender(reason, held_until_s)
             self._anew = reason
         elif self.holder.phase == "held":
             self._anew = ""
