--- a/comfreywharf/platform/tests/test_lives.py
+++ b/comfreywharf/platform/tests/test_lives.py
@@ -122,6 +122,29 @@
     wait_for(lambda: deployment.ask(deployment.elsewhere(7)).status == 200)
 
 
+def test_a_lease_that_cant_begin_anew_is_taken_over_only_behind_its_last_grant(
+    deployment,
+):
+    """Symptom: a standby's server holds keys for a second beside their owner's.
+    Sequence: a server's connections are all closed, as when it drains, and its node
+    gives the lease up for one with higher fences; the witnesses grant that one, and the
+    store is away before it is written down, so that it is given up as well.
+    Cause: the second time the witnesses weren't told until when the server still holds
+    what it was granted, and let the standby begin at once.
+    Evidence: the lines of a played day that broke the rule: given up at 23.52 s, again
+    at 23.74 s, taken over at 23.75 s, two holders until the owner's last grant ended at
+    24.71 s."""
+    name = deployment.holder(7)
+
+    def taken_over():
+        assert len(deployment.holders(7)) <= 1
+        return deployment.holder(7) not in (None, name)
+
+    deployment.store.fault = "busy"
+    deployment.servers[name].reset_connections()
+    wait_for(taken_over)
+
+
 def test_a_server_that_leaves_while_its_lease_begins_anew_gets_it_no_more(deployment):
     """Symptom: keys are dark at a leaving server. Sequence: its lease begins anew, and
     before it is held again the server leaves, so that the node gives the lease up.
