Show that a server which closes its port loses its keys while it still works

Ruled out: a second surrender without the end of its grants (there was one surrender, and no outage); a used fence (they differ).

--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -73,7 +73,7 @@
         self._highest = [-1] * 65536
         self.born_ms = 1_000
         self._sequence = 0
-        self._working = 0
+        self._at_work = set()
         self._server = self._make_server(0)
         self._beating = None
 
@@ -103,6 +103,13 @@
         self._highest = [-1] * 65536
         self._sequence = 0
 
+    def close_port(self):
+        """Listen no more, end idle connections, and go on with what is at work."""
+        self._server.close()
+        for greenlet in list(self._server.pool):
+            if greenlet not in self._at_work:
+                greenlet.kill()
+
     def reset_connections(self):
         """End all connections, as when something between resets them."""
         self._server.pool.kill()
@@ -124,6 +131,11 @@
         """Return what names its present life."""
         return Life(self.instance, self.born_ms)
 
+    @property
+    def works(self):
+        """Return whether a request is at work."""
+        return bool(self._at_work)
+
     @property
     def beats(self):
         """Return how many heartbeats its present life began to send."""
@@ -138,6 +150,11 @@
         now_s = boottime_s()
         return any(h.first <= key <= h.last and now_s < h.until_s for h in self.held)
 
+    def left_s(self, key):
+        """Return for how much longer the server holds a key."""
+        ends_s = [h.until_s for h in self.held if h.first <= key <= h.last]
+        return max(ends_s, default=0.0) - boottime_s()
+
     def word(self):
         """Return what its next heartbeat says."""
         return {
@@ -207,7 +224,7 @@
 
     def _release(self, fields, start_response):
         self._drop(fields["from"], fields["to"])
-        while self._working:
+        while self._at_work:
             gevent.sleep(0.005)
         token = f"{self.instance}-{fields['from']}"
         return _respond(start_response, 200, [("X-Handover", token)])
@@ -225,11 +242,11 @@
         self.headers.append({k: v for k, v in environ.items() if k.startswith("HTTP_")})
         run = Run(request_id, int(text or -1), self.instance, boottime_s())
         self.ledger.append(run)
-        self._working += 1
+        self._at_work.add(gevent.getcurrent())
         try:
             gevent.sleep(self.work_s)
         finally:
-            self._working -= 1
+            self._at_work.discard(gevent.getcurrent())
         headers.append(("X-Attempt-Id", self.answer_id or request_id))
         headers.append(("X-Response-Stamp", f"stamp-{request_id}"))
         return _respond(start_response, 200, headers, body or b"done")
