Keep the last connection from orders until no other can be had

Traced with each step of the pool written down: seven of eight connections are closed, one after the other, as their orders get no answer within 0.4 s; the wait of five more orders began a little later and ends a little later. One of them wakes, sees one connection open and no refill under way, takes that for a server that has room for no other, and sends; its own 0.4 s end 0.6 ms later, the connection is closed, and the process is out of sight (open=0, next number 2). No refill had been tried since the others were lost. Now a refill says how many connections the server has room for: as many as were open when it began, or as are open and live when it ends. Orders go out on the last idle one only where that is one; until a refill has ended, and for a new process, it counts as all. The rule for orders and that for the question stand at one place now (`_take_idle`). A refill that is due later comes by itself, since an order may wait for it. Ruled out, by the trace: a question that timed out (each refill's was answered within 1.2 ms), an answer that wasn't read to its end, connections that the server closed. The bond is unchanged: no more connections count as known than before. A server silent to the question for 1 s still goes out of sight.

--- a/comfreywharf/daemon/bound_pool.py
+++ b/comfreywharf/daemon/bound_pool.py
@@ -30,7 +30,8 @@
     The process is lost from sight with the last known connection, and orders may use
     up one connection after the other: half of them get no answer at times. So the last
     one carries none, but a question that any process answers, with which it vouches
-    for new ones; ``question()`` returns its target.
+    for new ones; ``question()`` returns its target. Only where a refill has shown that
+    the server has room for no other does it carry orders as well.
     """
 
     def __init__(self, host, port, *, question, **settings):
@@ -52,8 +53,10 @@
         """
         process = self._pool.reach()
         if self._wants_refill():
-            self._refill_not_before_s = boottime_s() + REFILL_PAUSE_S
-            self._refilling = gevent.spawn(self._refill)
+            # Due later, it still has to come without another call: the order that
+            # this one is for may wait for it.
+            wait_s = max(0.0, self._refill_not_before_s - boottime_s())
+            self._refilling = gevent.spawn_later(wait_s, self._refill)
         return process
 
     def borrow(self, process):
@@ -61,7 +64,7 @@
 
         Waits for one that is idle.
         """
-        return self._pool.borrow(process, self._may_use_last)
+        return self._pool.borrow(process)
 
     def asked(self):
         """Return the moment at which something is sent, for `answered`."""
@@ -74,28 +77,16 @@
     def _wants_refill(self):
         if self._refilling is not None and not self._refilling.ready():
             return False
-        wants = self._pool.missing or self._pool.bond.waits
-        return wants and boottime_s() >= self._refill_not_before_s
-
-    def _may_use_last(self):
-        """Return whether an order may go out on the last connection that is idle.
-
-        That is so where it is the only one, since the server has room for no other.
-        """
-        refilled = self._refilling is None or self._refilling.ready()
-        return refilled and self._pool.open_count == 1
+        return self._pool.missing or self._pool.bond.waits
 
     def _refill(self):
-        """Open what is missing, and have it vouched for."""
-        self._pool.open_missing()
-        if self._pool.bond.waits:
-            self._vouch()
-        self._pool.tell()
+        self._refill_not_before_s = boottime_s() + REFILL_PAUSE_S
+        self._pool.refill(self._vouch)
 
     def _vouch(self):
         try:
             with gevent.Timeout(VOUCH_TIMEOUT_S):
-                sock = self._pool.borrow(self._pool.bond.process, lambda: True)
+                sock = self._pool.borrow(self._pool.bond.process, to_vouch=True)
                 if sock is not None:
                     self._ask(sock)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
@@ -126,6 +117,7 @@
         self._opening = 0
         self._first = None
         self._changed = Event()
+        self._room = self.size
 
     @property
     def open_count(self):
@@ -166,10 +158,10 @@
         finally:
             self._first = None
 
-    def borrow(self, process, may_use_last):
+    def borrow(self, process, *, to_vouch=False):
         """Return an idle connection to a process; see `BoundClient`."""
         while self._leads_to(process):
-            sock = self._take_idle(may_use_last)
+            sock = self._take_idle(to_vouch)
             if sock is not None:
                 return sock
             self._changed.wait()
@@ -186,8 +178,22 @@
         self.bond.answered(sock, asked)
         self.tell()
 
-    def open_missing(self):
-        """Open all connections that are missing; return once each is or isn't."""
+    def refill(self, vouch):
+        """Open what is missing, and call `vouch` if something waits for that.
+
+        This also finds out how many connections the server has room for. Those that
+        it resets are open for a moment; those that orders lose meanwhile had room.
+        """
+        before = len(self._open)
+        self._room = self.size
+        self._open_missing()
+        if self.bond.waits:
+            vouch()
+        self._drop_ended()
+        self._room = max(before, len(self._open))
+        self.tell()
+
+    def _open_missing(self):
         opening = [gevent.spawn(self._open_another) for _ in range(self.missing)]
         gevent.joinall(opening)
 
@@ -217,13 +223,18 @@
         self._changed.set()
         self._changed.clear()
 
-    def _take_idle(self, may_use_last):
+    def _take_idle(self, to_vouch):
         """Return the known connection that was idle for longest, or ``None``.
 
         Taken in turn, none of them is closed by the server for being idle.
         """
         known = [sock for sock in self._idle if self.bond.knows(sock)]
-        if not known or (len(known) == 1 and not may_use_last()):
+        # An order that waits while others get no answer would take the last one when
+        # those are closed, get no answer itself, and put the process out of sight. It
+        # goes out on the last one only once a refill has shown that the server has
+        # room for no other; until then that one is kept to vouch for new ones.
+        last_is_kept = self._room > 1 and not to_vouch
+        if not known or (len(known) == 1 and last_is_kept):
             return None
         self._idle.remove(known[0])
         return known[0]
@@ -250,8 +261,10 @@
         finally:
             self._opening -= 1
         if not self.bond.process:
-            # Nothing can vouch for older connections any more.
+            # Nothing can vouch for older connections any more. How much room there is
+            # for new ones hasn't been seen yet.
             self._drop(list(self._idle))
+            self._room = self.size
         self._open.add(sock)
         self.bond.opened(sock)
         self.return_socket(sock)
--- a/comfreywharf/daemon/tests/test_bound_pool.py
+++ b/comfreywharf/daemon/tests/test_bound_pool.py
@@ -1,6 +1,8 @@
 """Orders that reach one process of a server, over real connections."""
 
 import contextlib
+import struct
+from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
 
 import gevent
 import pytest
@@ -10,13 +12,18 @@
 from comfreywharf.daemon.bound_pool import BoundClient
 
 WAIT_S = 10.0
+RESET = struct.pack("ii", 1, 0)
 
 
 class Place:
-    """An address at which one process after the other listens."""
+    """An address at which one process after the other listens.
+
+    It takes as many connections as it has ``room`` for, and resets all later ones.
+    """
 
     def __init__(self):
         self.seen = []
+        self.room = 1000
         self.port = 0
         self._server = None
         self.begin("first")
@@ -30,6 +37,17 @@
 
         address = ("127.0.0.1", self.port)
         self._server = WSGIServer(address, answer, log=None, spawn=Pool())
+        accept = self._server.do_handle
+
+        def take(sock, *args):
+            self.room -= 1
+            if self.room >= 0:
+                accept(sock, *args)
+                return
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET)
+            sock.close()
+
+        self._server.do_handle = take
         self._server.start()
         self.port = self._server.server_port
 
@@ -121,6 +139,114 @@
     assert waiting.get(timeout=WAIT_S) is None
 
 
+def test_an_order_that_waits_leaves_the_last_connection_to_vouch(client):
+    """Symptom: while orders get no answer, their server goes out of sight; its keys
+    are dark until it has a new lease. Sequence: two of three connections carry orders,
+    a third order waits; the two are given up, the third order takes what is left and
+    is given up as well. Cause: the only connection that was open passed for the only
+    one that the server has room for, though no other had been tried."""
+    process = client.reach()
+    wait_until(lambda: client.reach() and client._pool.bond.known_count == 3)
+    lost = [client.borrow(process) for _ in range(2)]
+    waiting = gevent.spawn(client.borrow, process)
+    gevent.idle()
+    for sock in lost:
+        client._pool.release_socket(sock)
+    gevent.idle()
+    assert not waiting.ready()
+    wait_until(lambda: client.reach() and waiting.ready())
+    client._pool.release_socket(waiting.value)
+    assert client.reach() == process
+
+
+def test_connections_lost_during_a_refill_dont_pass_for_a_full_server(client, place):
+    """Symptom: as above. Sequence: of three connections one is lost and another is in
+    use; that one is lost as well while a refill asks on the third, and what the refill
+    opened is reset. Cause: what was left passed for all that the server has room for,
+    though it had room for one more when the refill began."""
+    process = client.reach()
+    wait_until(lambda: client.reach() and client._pool.bond.known_count == 3)
+    in_use = [client.borrow(process) for _ in range(2)]
+
+    def question():
+        client._pool.release_socket(in_use.pop())
+        return "/"
+
+    client._question = question
+    place.room = 0
+    client._pool.release_socket(in_use.pop())
+    wait_until(lambda: client.reach() and not client._refilling.ready())
+    client._refilling.join(timeout=WAIT_S)
+    waiting = gevent.spawn(client.borrow, process)
+    gevent.idle()
+    assert client._pool.open_count == 1
+    assert not waiting.ready()
+    waiting.kill()
+
+
+def test_a_server_with_room_for_one_connection_gets_its_orders(client, place):
+    """Symptom: the keys of a server that is full are dark. Sequence: it resets each
+    connection but the first. Cause: the last one was kept from orders for good."""
+    be_full(client, place)
+    assert place.seen == ["first"]
+
+
+def test_connections_that_are_reset_during_the_question_show_a_full_server(client):
+    """Symptom: as above. Sequence: the resets come while the question is answered.
+    Cause: connections that had ended unnoticed counted as room."""
+    process = client.reach()
+
+    def question():
+        for sock in client._pool._idle:
+            sock.shutdown(SHUT_RDWR)
+        return "/"
+
+    client._question = question
+    client._refilling.join(timeout=WAIT_S)
+    assert client._pool.open_count == 1
+    assert order(client, process)
+
+
+def test_a_refill_keeps_the_last_connection_for_its_question(client, place):
+    """Symptom: a server that had been full goes out of sight, though it has room.
+    Sequence: while a refill opens connections, an order goes out on the only known one
+    and gets no answer. Cause: what the refill before had shown still counted."""
+    process = be_full(client, place)
+    taken = []
+
+    def open_slowly(sock):
+        waiting = gevent.spawn(client.borrow, process)
+        gevent.idle()
+        taken.append(waiting.ready())
+        waiting.kill()
+
+    client._pool.after_connect = open_slowly
+    wait_until(lambda: client.reach() and taken)
+    assert not any(taken)
+
+
+def test_the_next_process_isnt_full_because_the_one_before_was(client, place):
+    """Symptom: a server that has just begun goes out of sight. Sequence: the one before
+    was full; an order goes out on the first connection before others were tried.
+    Cause: what was seen of the one before still counted."""
+    client._pool.release_socket(client.borrow(be_full(client, place)))
+    waiting = gevent.spawn(client.borrow, client.reach())
+    gevent.idle()
+    assert client._pool.bond.known_count > 1 or not waiting.ready()
+    waiting.kill()
+
+
+def be_full(client, place):
+    """Have one connection, on which an order goes out; then there is room for more."""
+    place.room = 1
+    process = client.reach()
+    sent = gevent.spawn(order, client, process)
+    wait_until(lambda: client.reach() and sent.ready())
+    assert sent.value
+    place.room = 1000
+    return process
+
+
 def wait_until(condition):
     """Let greenlets run until a condition holds."""
     with gevent.Timeout(WAIT_S), contextlib.suppress(StopIteration):
