Read the answers of orders and of questions at one place

Cause: `bound_pool._ask` and `platform/backends._exchange` read an answer alike and told of it alike; `asked` and `answered` had to be called in pairs around a send. Ruled out: nothing. An answer over 4,096 bytes is read to its end now; before, its connection was closed.

--- a/comfreywharf/daemon/bound_pool.py
+++ b/comfreywharf/daemon/bound_pool.py
@@ -25,7 +25,7 @@
     """An HTTP client whose requests reach one process, and never the next at its place.
 
     `reach` says which process that is; `borrow` gives a connection to it, on which
-    `send` sends. Each answer is told to `answered`, so that it can vouch for others.
+    `exchange` sends, so that the answer can vouch for others.
 
     The process is lost from sight with the last known connection, and orders may use
     up one connection after the other: half of them get no answer at times. So the last
@@ -66,13 +66,15 @@
         """
         return self._pool.borrow(process)
 
-    def asked(self):
-        """Return the moment at which something is sent, for `answered`."""
-        return self._pool.bond.asked()
+    def exchange(self, sock, method, target, header_lines, body):
+        """Send on a connection and return the answer, which vouches for others."""
+        asked = self._pool.bond.asked()
 
-    def answered(self, sock, asked):
-        """Take note of an answer to what was sent on a connection at a moment."""
-        self._pool.answered(sock, asked)
+        def vouch():
+            self._pool.answered(sock, asked)
+
+        request = (method, target, header_lines, body)
+        return super().exchange(sock, *request, answered=vouch)
 
     def _wants_refill(self):
         if self._refilling is not None and not self._refilling.ready():
@@ -88,23 +90,11 @@
             with gevent.Timeout(VOUCH_TIMEOUT_S):
                 sock = self._pool.borrow(self._pool.bond.process, to_vouch=True)
                 if sock is not None:
-                    self._ask(sock)
+                    self.exchange(sock, "GET", self._question(), "", b"")
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             # The next refill asks again, or finds that the process is gone.
             return
 
-    def _ask(self, sock):
-        asked = self.asked()
-        response = self.send(sock, "GET", self._question(), "", b"")
-        response.held = True
-        try:
-            response.read_head()
-            response.read()
-            self.answered(sock, asked)
-        finally:
-            response.held = False
-            response.release()
-
 
 class _BoundPool(NodelayPool):
     """The connections of a `BoundClient`."""
--- a/comfreywharf/daemon/http.py
+++ b/comfreywharf/daemon/http.py
@@ -305,6 +305,25 @@
         long_body = not isinstance(body, bytes) or len(body) >= LONG_BODY_BYTES
         return BackendResponse(method, sock, self._pool, self.unframed, long_body)
 
+    def exchange(self, sock, method, target, header_lines, body, *, answered=None):
+        """Send as `send` does; return the answer, its body read to its end and dropped.
+
+        ``answered`` is called while the connection still counts as open: one that the
+        server closes with its answer could vouch for no other afterwards.
+        """
+        response = self.send(sock, method, target, header_lines, body)
+        response.held = True
+        try:
+            response.read_head()
+            while not response.whole:
+                response.read(BLOCK_BYTES)
+            if answered is not None:
+                answered()
+        finally:
+            response.held = False
+            response.release()
+        return response
+
     def close(self):
         """Close idle connections."""
         self._pool.close()
--- a/comfreywharf/daemon/tests/test_bound_pool.py
+++ b/comfreywharf/daemon/tests/test_bound_pool.py
@@ -83,11 +83,7 @@
         sock = client.borrow(process)
         if sock is None:
             return False
-        asked = client.asked()
-        response = client.send(sock, "POST", "/", "", b"")
-        response.read_head()
-        response.release()
-        client.answered(sock, asked)
+        client.exchange(sock, "POST", "/", "", b"")
     return True
 
 
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -29,6 +29,7 @@
 
 ID_HEADER = "X-Attempt-Id"
 STAMP_HEADER = "x-response-stamp"
+JSON_LINE = "Content-Type: application/json\r\n"
 
 
 class PlatformDialect(Dialect):
@@ -98,26 +99,19 @@
                     self._grants.give_back(sock)
                     return GrantAnswer.UNSENT
                 sent = True
-                answer = self._send_grant(sock, _grant_fields(numbers, order, hold_s))
+                fields = _grant_fields(numbers, order, hold_s)
+                answer = _post(self._grants, sock, "/-/grant", fields)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return GrantAnswer.LOST if sent else GrantAnswer.UNSENT
         return _GRANT_ANSWERS.get(answer.status_code, GrantAnswer.REFUSED)
 
-    def _send_grant(self, sock, fields):
-        asked = self._grants.asked()
-
-        def vouch():
-            self._grants.answered(sock, asked)
-
-        return _exchange(self._grants, sock, "/-/grant", fields, vouch)
-
     def release(self, first, last, fence, timeout_s):
         """Return what the server hands over, or ``None`` without an answer."""
         fields = {"from": first, "to": last, "fence": fence}
         try:
             with gevent.Timeout(timeout_s):
                 sock = self._releases.connect()
-                answer = _exchange(self._releases, sock, "/-/release", fields)
+                answer = _post(self._releases, sock, "/-/release", fields)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return None
         return answer.get("x-handover", "") if answer.status_code == 200 else None
@@ -144,24 +138,8 @@
     return fields
 
 
-def _exchange(client, sock, target, fields, answered=None):
-    """Send an order on a connection and return the answer, read to its end.
-
-    ``answered`` is called while the connection still counts as open: one that the
-    server closes with its answer could vouch for no other afterwards.
-    """
-    headers = "Content-Type: application/json\r\n"
-    response = client.send(sock, "POST", target, headers, orjson.dumps(fields))
-    response.held = True
-    try:
-        response.read_head()
-        response.read(MAX_ANSWER_BYTES)
-        if answered is not None:
-            answered()
-    finally:
-        response.held = False
-        response.release()
-    return response
+def _post(client, sock, target, fields):
+    return client.exchange(sock, "POST", target, JSON_LINE, orjson.dumps(fields))
 
 
 class PlatformBackend(Backend):
