Give up each lease that can't be written down

Cause: only a lease that began anew for a doubt about a connection was given up where the store was away before its record was written, and a heartbeat in between ended that. It was then renewed in phase `starting` for the whole outage, and no standby might claim. So was a first lease, and one that began anew after a lapse. Ruled out: keeping the flag over `recover`; it leaves the other ways to `starting` as they were. Before: test_a_lease_that_cant_be_written_down_is_given_up[True] failed. A single failed read of the log in phase `starting` gives the lease up as well; it is asked for again with the next read that succeeds.

--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/leases.py
@@ -64,7 +64,7 @@
         self._wake = Event()
         self._forced = False
         self._forced_s = float("-inf")
-        self._anew = ""
+        self._wanted = True
         self._granted = Event()
         self._released = Event()
         self._perform = {
@@ -173,8 +173,7 @@
             self._wake.wait(self._wait_s(boottime_s()))
             self._wake.clear()
             forced, self._forced = self._forced, False
-            if self._anew:
-                self._follow_anew()
+            self._follow_log()
             now_s = boottime_s()
             state = self._node.follower.state
             self.carry_out(self.agent.tick(state, now_s, self._may_hold(), forced))
@@ -210,46 +209,45 @@
         self._wake.set()
 
     def surrender(self, reason, held_until_s=None):
-        """Give the lease up at once, so that the standbys may begin.
+        """Give the lease up at once, and until `recover`, so that standbys may begin.
 
         ``held_until_s`` is when the last grant of a living backend server ends.
         """
-        self._anew = ""
+        self._wanted = False
+        self._give_up(reason, held_until_s)
+
+    def _give_up(self, reason, held_until_s):
         state = self._node.follower.state
         self.carry_out(self.agent.surrender(state, reason, boottime_s(), held_until_s))
 
     def recover(self):
         """Ask for the lease again after a surrender."""
-        self._anew = ""
-        self.agent.recover()
+        self._wanted = True
+        self._follow_log()
 
     def begin_anew(self, reason):
         """Give the lease up and ask for it again, so that its fence grows."""
-        self.surrender(reason, self._node.grants.held_until_s(boottime_s()))
-        self._anew = reason
-        self._follow_anew()
+        self._wanted = True
+        self._give_up(reason, self._node.grants.held_until_s(boottime_s()))
+        self._follow_log()
 
-    def _follow_anew(self):
-        """Ask for a lease that has to begin anew only while it can be written down.
+    def _follow_log(self):
+        """Ask for a lease that has to be written down only while it can be.
 
         A node that has its witnesses' majority and can't append renews all the same,
         and no standby may claim: its keys would be dark for as long as the store is
-        away, which is up to 9 s.
+        away, which is up to 9 s. What its server was granted before may still run:
+        told of no hold, a standby's server would have the keys beside it for a second.
         """
+        if not self._wanted:
+            return
         reachable = self._node.follower.reachable
         if self.holder.phase == "surrendered" and reachable:
             self.agent.recover()
+            self._wake.set()
         elif self.holder.phase == "starting" and not reachable:
-            # What the server was granted before may still run: told of no hold, a
-            # standby's server would have the keys beside it for a second.
-            reason, held_until_s = (
-                self._anew,
-                self._node.grants.held_until_s(boottime_s()),
-            )
-            self.surrender(reason, held_until_s)
-            self._anew = reason
-        elif self.holder.phase == "held":
-            self._anew = ""
+            held_until_s = self._node.grants.held_until_s(boottime_s())
+            self._give_up("log out of reach", held_until_s)
 
     # What the agent asks for.
 
