Let a late refusal end no newer lease, and bring none back

Cause: each grant that a server refused as outdated had the lease begin anew, also one of an earlier fence that came late, and also where the lease had been given up for good. Before: test_a_refusal_of_an_earlier_fence_doesnt_end_a_newer_lease and test_a_lease_that_was_given_up_for_good_isnt_asked_for_after_a_late_refusal failed.

--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/leases.py
@@ -226,8 +226,13 @@
         self._follow_log()
 
     def begin_anew(self, reason):
-        """Give the lease up and ask for it again, so that its fence grows."""
-        self._wanted = True
+        """Give the lease up and ask for it again, so that its fence grows.
+
+        One that was given up for good isn't asked for: it would be renewed beside a
+        server that gets no work, and no standby could claim.
+        """
+        if not self._wanted:
+            return
         self._give_up(reason, self._node.grants.held_until_s(boottime_s()))
         self._follow_log()
 
--- a/comfreywharf/daemon/range_grants.py
+++ b/comfreywharf/daemon/range_grants.py
@@ -62,6 +62,7 @@
         self.book = HoldBook(terms, unknown_until_s=boottime_s() + unknown_s)
         self._process = None
         self._anew_not_before_s = float("-inf")
+        self._left_fence = -1
         self._failing = False
         self._release_timeout_s = release_timeout_s
         self._calls = Pool(MAX_CONCURRENT)
@@ -150,11 +151,30 @@
             self._tell_failed(backend, order, answer)
         else:
             self._tell_taken(backend, order)
-        if answer is GrantAnswer.OUTDATED:
+        if answer is GrantAnswer.OUTDATED and not self._is_past(order):
             # The server has seen a higher fence than this node's. A new term of
             # the lease takes its number from the log's end, above all earlier.
+            self._left_fence = self.book.highest_fence
             self._node.leases.begin_anew("grant outdated")
 
+    def _is_past(self, order):
+        """Return whether an order's fence was left for a higher one already.
+
+        Its refusal says nothing of that one. Were the lease to begin anew for it, keys
+        would be dark again that have just been served under a new lease.
+        """
+        service, start = order.place
+        served = (
+            fence
+            for name, piece, fence, _ in self._served()
+            if name == service and piece.start < order.end and start < piece.end
+        )
+        return (
+            order.fence <= self._left_fence
+            or any(fence > order.fence for fence in served)
+            or self.book.granted_above(service, start, order.end, order.fence)
+        )
+
     def _tell_failed(self, backend, order, answer):
         self._failing = True
         self._node.report(
--- a/comfreywharf/daemon/tests/test_lease_and_log.py
+++ b/comfreywharf/daemon/tests/test_lease_and_log.py
@@ -118,3 +118,17 @@
     holder.start_read_back(holder.continuity)
     node.leases._follow_log()
     assert holder.phase == "held"
+
+
+def test_a_lease_that_was_given_up_for_good_isnt_asked_for_after_a_late_refusal():
+    """Symptom: the keys of a server that has left stay dark.
+    Sequence: a server leaves, and its lease is given up; an order that was sent
+    before is answered as outdated.
+    Cause: such an answer has the lease begin anew, also one that was given up for
+    good. The node then renews it beside a server that gets no work."""
+    node = Node(SETTINGS, OwnPorts(SETTINGS))
+    node.follower.reachable = True
+    node.close_to_new_work()
+    assert node.leases.holder.phase == "surrendered"
+    node.leases.begin_anew("grant outdated")
+    assert node.leases.holder.phase == "surrendered"
--- /dev/null
+++ b/comfreywharf/daemon/tests/test_outdated_grants.py
@@ -0,0 +1,140 @@
+"""Grants that a backend server refuses, since it has seen a higher fence."""
+
+from types import SimpleNamespace
+
+import gevent
+
+from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.backend import Announcement
+from comfreywharf.daemon.range_grants import Orders, RangeGrants
+from comfreywharf.ownership.holds import GrantAnswer, HoldTerms
+from comfreywharf.records import KEY_SPACE, Slice
+
+PIECE = Slice(start=0, end=KEY_SPACE, owner="a", epoch=5)
+TERMS = HoldTerms(lease_s=1.5, longest_s=10.0)
+
+
+class Answers(Orders):
+    """Answers each grant alike, and keeps the fences that it was asked for."""
+
+    def __init__(self, answer=GrantAnswer.TAKEN):
+        self.answer = answer
+        self.fences = []
+
+    def reach(self):
+        return 1
+
+    def grant(self, process, numbers, order):
+        self.fences.append(order.fence)
+        return self.answer
+
+    def release(self, first, last, fence, timeout_s):
+        return ""
+
+
+def backend(instance, port, orders):
+    announcement = Announcement(
+        name="s",
+        service="booking",
+        host="127.0.0.1",
+        port=port,
+        slots=1,
+        connections=1,
+        checks_fences=True,
+        instance=instance,
+    )
+    return SimpleNamespace(orders=orders, announcement=announcement)
+
+
+def serve(grants, fence, lease_s=1.5):
+    """Let the node serve its slice under a fence for a lease from now on."""
+    until_s = boottime_s() + lease_s
+    grants._node.leases.table = SimpleNamespace(
+        serving=lambda state, now_s: [("booking", PIECE, fence, until_s)]
+    )
+
+
+def make_grants(first):
+    node = SimpleNamespace(
+        backend=first,
+        leases=SimpleNamespace(begun_anew=[]),
+        follower=SimpleNamespace(state=None),
+        report=lambda *args, **fields: None,
+    )
+    node.leases.begin_anew = node.leases.begun_anew.append
+    return RangeGrants(node, TERMS, 1.0)
+
+
+def test_a_refusal_of_an_earlier_fence_doesnt_end_a_newer_lease():
+    """Symptom: a lease that has just begun anew is given up, and keys are dark again.
+    Sequence: an order waits; the slice's fence grows; an order with it is taken; the
+    first order, sent late, is refused as outdated.
+    Cause: any such answer has the lease begin anew, though a higher fence is in use."""
+    grants = make_grants(backend("i-1", 1, Answers()))
+    served = [("booking", PIECE, 10, boottime_s() + 1.5)]
+    (late,) = grants.book.due(served, boottime_s())
+    serve(grants, 20)
+    gevent.joinall(grants.push())
+    earlier = grants._node.backend.orders
+    earlier.answer = GrantAnswer.OUTDATED
+    grants._send(grants._node.backend, 1, late)
+    assert earlier.fences == [20, 10]
+    assert grants._node.leases.begun_anew == []
+
+
+def test_a_refusal_ends_the_lease_that_it_is_of():
+    grants = make_grants(backend("i-1", 1, Answers(GrantAnswer.OUTDATED)))
+    serve(grants, 10)
+    gevent.joinall(grants.push())
+    assert grants._node.leases.begun_anew == ["grant outdated"]
+    serve(grants, 20)
+    gevent.joinall(grants.push())
+    assert grants._node.leases.begun_anew == ["grant outdated"] * 2
+
+
+def test_a_refusal_doesnt_end_a_newer_lease_that_hasnt_been_granted_yet():
+    """Symptom: as above. Sequence: an order is sent late and refused, while the slice
+    is served under a higher fence already that no order has carried yet.
+    Cause: only orders show the book which fences are in use."""
+    grants = make_grants(backend("i-1", 1, Answers(GrantAnswer.OUTDATED)))
+    served = [("booking", PIECE, 10, boottime_s() + 1.5)]
+    (late,) = grants.book.due(served, boottime_s())
+    serve(grants, 20)
+    grants._send(grants._node.backend, 1, late)
+    assert grants._node.leases.begun_anew == []
+
+
+def test_two_refusals_begin_the_lease_anew_once():
+    """Symptom: keys are dark for longer than one round, after a server's refusals.
+    Sequence: two orders under one lease are refused, the second one while the lease
+    begins anew and nothing is served.
+    Cause: the second refusal gives up the lease that the first one had asked for."""
+    grants = make_grants(backend("i-1", 1, Answers(GrantAnswer.OUTDATED)))
+    until_s = boottime_s() + 1.5
+    other = Slice(start=0, end=KEY_SPACE, owner="a", epoch=6)
+    served = [("booking", PIECE, 10, until_s), ("lookup", other, 12, until_s)]
+    orders = grants.book.due(served, boottime_s())
+    serve_nothing(grants)
+    for order in orders:
+        grants._send(grants._node.backend, 1, order)
+    assert grants._node.leases.begun_anew == ["grant outdated"]
+
+
+def serve_nothing(grants):
+    grants._node.leases.table = SimpleNamespace(serving=lambda state, now_s: [])
+
+
+def test_a_refusal_of_an_earlier_fence_doesnt_end_a_lapsed_lease():
+    """Symptom: a lapse that would have healed without the log needs a record.
+    Sequence: as above, and the newer lease lapses before the first order is refused.
+    Cause: nothing is served then, and only the orders show which fence was in use."""
+    earlier = Answers()
+    grants = make_grants(backend("i-1", 1, earlier))
+    served = [("booking", PIECE, 10, boottime_s() + 1.5)]
+    (late,) = grants.book.due(served, boottime_s())
+    serve(grants, 20)
+    gevent.joinall(grants.push())
+    serve_nothing(grants)
+    earlier.answer = GrantAnswer.OUTDATED
+    grants._send(grants._node.backend, 1, late)
+    assert grants._node.leases.begun_anew == []
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -142,6 +142,11 @@
             self._earlier.setdefault(place[0], []).append(hold)
         self._holds.clear()
 
+    @property
+    def highest_fence(self):
+        """Return the highest fence that any order carried so far."""
+        return self._highest_fence
+
     def bars(self, fences):
         """Return whether one of these fences may have been an earlier process's."""
         return any(fence <= self._used_fence for fence in fences)
