Tell that a dead server holds nothing under claims either

Cause: a node whose server was proved dead told its claims' full end, and a lost node's keys were dark for a lease more. `None` meant both that the server is dead and that nothing is known. Before: test_what_a_dead_server_had_under_a_claim_is_not_waited_for failed. After: `NOTHING_HELD_S` says that the server is dead, `None` that the end isn't known.

--- a/comfreywharf/daemon/grants.py
+++ b/comfreywharf/daemon/grants.py
@@ -72,7 +72,7 @@
         """Do nothing: the next instance's grants replace all that came before."""
 
     def held_until_s(self, now_s):
-        """Return ``None``: a surrender needn't wait for grants here."""
+        """Return ``None``: when these grants end isn't kept, nor waited for."""
         return None
 
     def _wanted(self):
--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/leases.py
@@ -211,7 +211,7 @@
     def surrender(self, reason, held_until_s=None):
         """Give the lease up at once, and until `recover`, so that standbys may begin.
 
-        ``held_until_s`` is when the last grant of a living backend server ends.
+        ``held_until_s`` is as in `OwnershipAgent.surrender`.
         """
         self._wanted = False
         self._give_up(reason, held_until_s)
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -32,6 +32,7 @@
 from comfreywharf.membership import NodeFacts, NodeLife, Pauses
 from comfreywharf.metrics import Metrics
 from comfreywharf.ownership import WITNESSES
+from comfreywharf.ownership.holds import NOTHING_HELD_S
 from comfreywharf.records import NodeAnnounced
 from comfreywharf.routing import MemoryLimits
 from comfreywharf.transport import PeerServer
@@ -301,14 +302,13 @@
         self.report("backend_lost", name=backend.announcement.name, reason=reason)
         backend.close()
         self.load.backend_died()
-        if reason == "refused":
-            self.grants.backend_ended()
         # A server that is only silent may go on with the keys it was granted, and
         # one that took another's place may have been granted them in its stead.
         held_until_s = self.grants.held_until_s(boottime_s())
-        self.leases.surrender(
-            "backend lost", None if reason == "refused" else held_until_s
-        )
+        if reason == "refused":
+            self.grants.backend_ended()
+            held_until_s = NOTHING_HELD_S
+        self.leases.surrender("backend lost", held_until_s)
 
     def _announce(self):
         """Tell the log of this node and of the backend server beside it."""
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -204,7 +204,9 @@
 
         What was forwarded may still take effect; the witnesses are told until
         when, and make the standbys wait for it. ``held_until_s`` is when the last
-        grant ends that a living backend server still has; it delays them too.
+        grant ends that the backend server may have, whatever it rests on; it delays
+        them too. ``NOTHING_HELD_S`` says that the server is proved dead, and ``None``
+        that the end isn't known.
         """
         if self.holder.phase in ("surrendered", "superseded"):
             return []
@@ -216,7 +218,7 @@
         actions = [report("lease_surrendered", reason=reason)]
         actions += [SendRenewal(witness, renewal) for witness in witnesses]
         for claim in list(self.claims.values()):
-            actions += self._end_claim(claim, now_s)
+            actions += self._end_claim(claim, now_s, held_until_s=held_until_s)
         return actions
 
     def recover(self):
@@ -336,29 +338,33 @@
                 completions.append(key)
         return takes, completions
 
-    def _end_claim(self, claim, now_s, recorded=False):
+    def _end_claim(self, claim, now_s, recorded=False, held_until_s=None):
         """Give a share back; what is in flight under it still counts."""
         claim.over = True
         del self.claims[claim.owner_id]
-        message = claim.message(self._claim_acts_until_s(claim, recorded, now_s), now_s)
+        acts_until_s = self._claim_acts_until_s(claim, recorded, now_s, held_until_s)
+        message = claim.message(acts_until_s, now_s)
         self._claim_number = max(self._claim_number, message.round)
         self.wake()
         actions = [SendUnclaim(w, message) for w in claim.lease.witnesses]
         return [*actions, report("claim_over", owner=claim.owner_id)]
 
-    def _claim_acts_until_s(self, claim, recorded, now_s):
+    def _claim_acts_until_s(self, claim, recorded, now_s, held_until_s):
         """Return until when something that rested on claims on an owner may act.
 
         Nothing rests on a claim that was never held. Were its end told with the
         newest request of this node's own keys, a busy node would put off its next
-        claim with each one that it ends, and the owner's keys would stay dark.
+        claim with each one that it ends, and the owner's keys would stay dark. So they
+        would for a lease where the server is known to hold less than it might.
         """
         known_s = self._acts_until_s.get(claim.owner_id, now_s)
         if claim.held_since_s is not None:
             known_s = max(
                 known_s, self._held_claim_acts_until_s(claim, recorded, now_s)
             )
-            self._acts_until_s[claim.owner_id] = known_s
+        if self._fenced and held_until_s is not None:
+            known_s = min(known_s, held_until_s)
+        self._acts_until_s[claim.owner_id] = known_s
         return max(known_s, now_s)
 
     def _held_claim_acts_until_s(self, claim, recorded, now_s):
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -224,7 +224,8 @@
 
         It lets a standby begin before the lease would have lapsed. Grants that
         are kept, or still on their way, would count after a recovery although
-        the witnesses have let go; they are forgotten.
+        the witnesses have let go; they are forgotten. Of grants whose end isn't known
+        none is told.
         """
         self._chart.fire("surrender")
         self._lease.reset()
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -10,7 +10,11 @@
 
 import attrs
 
-__all__ = ["GrantAnswer", "GrantOrder", "HoldBook", "HoldTerms"]
+__all__ = ["NOTHING_HELD_S", "GrantAnswer", "GrantOrder", "HoldBook", "HoldTerms"]
+
+NOTHING_HELD_S = float("-inf")
+"""Until when a backend server holds anything that is proved dead. Where that time isn't
+known it is ``None``."""
 
 
 class GrantAnswer(Enum):
