--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -32,6 +32,7 @@
 from comfreywharf.membership import NodeFacts, NodeLife, Pauses
 from comfreywharf.metrics import Metrics
 from comfreywharf.ownership import WITNESSES
+from comfreywharf.ownership.holds import NOTHING_HELD_S
 from comfreywharf.records import NodeAnnounced
 from comfreywharf.routing import MemoryLimits
 from comfreywharf.transport import PeerServer
@@ -327,9 +328,9 @@
         self.report("backend_lost", name=backend.announcement.name, reason=reason)
         backend.close()
         self.load.backend_died()
-        held_until_s = None
         if reason == "refused" and self._has_ended(backend):
             self.grants.backend_ended()
+            held_until_s = NOTHING_HELD_S
         else:
             # A server that is only silent may go on with the keys it was granted,
             # and one that took another's place may have been granted them in its
