Read what a server says of itself whole, or not at all

Cause: of a heartbeat only start, slots and number were checked. An unknown state counted as ready, "8_0" as port 80, a number as a service's name; an address that was a number ended in an error without an answer or a line. Ruled out: that such a report could end a living server: another address is asked who it is first. But the first one after a loss was believed at once. A service that isn't the node's own is taken if the configuration names it.

--- /dev/null
+++ b/comfreywharf/platform/announcements.py
@@ -0,0 +1,151 @@
+"""What a backend server says of itself, decoded once into typed values."""
+
+import ipaddress
+import re
+
+import attrs
+import orjson
+
+from comfreywharf.daemon.backend import Announcement
+from comfreywharf.membership.lives import Life
+from comfreywharf.platform.durations import duration_s
+
+__all__ = ["DamagedReport", "Heartbeat", "read_deregistration", "read_heartbeat"]
+
+SPARE_CONNECTIONS = 8
+"""Of the connections that a backend server accepts, those left for orders."""
+
+MOST_SLOTS = 65_536
+MOST_HEARTBEATS = 10**9
+"""A heartbeat each millisecond for eleven days. A number beyond it is damaged: taken
+for true, it would make each later heartbeat of that server a late one, for good."""
+
+LATEST_START_MS = 10**14
+"""The year 5138, as a Unix time in milliseconds."""
+
+_INSTANCE = re.compile(r"[!-.0-~]{1,128}")
+_PORT = re.compile(r"[0-9]{1,5}")
+_STATES = ("ready", "draining")
+
+
+class DamagedReport(ValueError):
+    """A report that can't be read, or says what no server says; ``field`` is where.
+
+    It names no server to use, and changes nothing of what is known of any.
+    """
+
+    def __init__(self, field, found, expected):
+        super().__init__(f"{field}: found {found!r:.80}; expected {expected}")
+        self.field = field
+
+
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """One heartbeat. ``sequence`` counts those of one life of a server."""
+
+    announcement: Announcement
+    sequence: int
+    leaving: bool
+
+
+def read_heartbeat(instance, body):
+    """Return the `Heartbeat` in the bytes of a report; raises `DamagedReport`.
+
+    Each field is checked, also those that aren't used: a writer that garbles one may
+    have garbled the others.
+    """
+    fields = _fields(body)
+    host, port = _address(fields.get("address"))
+    _text(fields, "zone")
+    _text(fields, "version")
+    _duration(fields, "coldRemaining")
+    slots = _whole(fields, "slots", MOST_SLOTS)
+    if slots < 1:
+        raise DamagedReport("slots", slots, "one or more")
+    state = fields.get("state")
+    if state not in _STATES:
+        raise DamagedReport("state", state, " or ".join(_STATES))
+    life = _life(instance, fields)
+    announcement = Announcement(
+        name=instance,
+        service=_text(fields, "service"),
+        host=host,
+        port=port,
+        slots=slots,
+        connections=slots + SPARE_CONNECTIONS,
+        checks_fences=True,
+        instance=instance,
+        born_ms=life.born_ms,
+    )
+    return Heartbeat(
+        announcement=announcement,
+        sequence=_whole(fields, "sequence", MOST_HEARTBEATS),
+        leaving=state == "draining",
+    )
+
+
+def read_deregistration(instance, body):
+    """Return the `Life` that leaves; raises `DamagedReport`. It may have no body."""
+    return _life(instance, _fields(body) if body else {})
+
+
+def _fields(body):
+    try:
+        fields = orjson.loads(body)
+    except ValueError as error:
+        raise DamagedReport("body", str(error), "JSON") from error
+    if not isinstance(fields, dict):
+        raise DamagedReport("body", fields, "an object")
+    return fields
+
+
+def _life(instance, fields):
+    if not _INSTANCE.fullmatch(instance):
+        raise DamagedReport("id", instance, "visible characters")
+    born_ms = fields.get("born")
+    if born_ms is not None:
+        born_ms = _whole(fields, "born", LATEST_START_MS)
+    return Life(instance, born_ms)
+
+
+def _address(value):
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not _is_ip(host) or not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        raise DamagedReport("address", value, "IP:PORT")
+    return host, int(port)
+
+
+def _is_ip(text):
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _text(fields, name):
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise DamagedReport(name, value, "a text")
+    return value
+
+
+def _duration(fields, name):
+    try:
+        return duration_s(fields.get(name))
+    except ValueError as error:
+        expected = "a number with ms or s"
+        raise DamagedReport(name, fields.get(name), expected) from error
+
+
+def _whole(fields, name, most):
+    """Return a whole number from 0 to ``most``.
+
+    A truth is a number to Python, and one with a fraction compares like one. A start or
+    a sequence of another type would raise with each later heartbeat, and the server be
+    silent for its node.
+    """
+    value = fields.get(name)
+    if type(value) is not int or not 0 <= value <= most:
+        raise DamagedReport(name, value, f"a whole number from 0 to {most}")
+    return value
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -5,25 +5,30 @@
 import orjson
 from gevent import pywsgi
 
-from comfreywharf.daemon.backend import Announcement
 from comfreywharf.daemon.http import NodelayHandler
-from comfreywharf.membership.lives import Life
+from comfreywharf.platform.announcements import (
+    DamagedReport,
+    read_deregistration,
+    read_heartbeat,
+)
 
 __all__ = ["HeartbeatPort"]
 
 _CALL = re.compile(r"/-/instances/([^/]{1,128})/(heartbeat|deregister)")
 MAX_BODY_BYTES = 16 * 1024
-SPARE_CONNECTIONS = 8
-"""Of the connections that a backend server accepts, those left for orders."""
 
 
 class HeartbeatPort:
-    """Take heartbeats; each is translated and given to the node."""
+    """Take heartbeats; each is translated and given to the node.
 
-    def __init__(self, node, life, address):
+    ``service`` is the one whose servers stand beside this node. Another one's name is
+    taken as well where the configuration knows it.
+    """
+
+    def __init__(self, node, life, address, service):
         self._node = node
         self._life = life
-        self._address = address
+        self._service = service
         self._server = pywsgi.WSGIServer(
             (address.host, address.port),
             self._answer,
@@ -45,60 +50,28 @@
             return _respond(start_response, "404 Not Found", {})
         instance, call = found.groups()
         try:
-            body = environ["wsgi.input"].read(MAX_BODY_BYTES)
-            if call == "deregister":
-                self._life.leaves(Life(instance, _born_ms(_said(body))))
-            else:
-                self._beat(instance, orjson.loads(body))
-        except (ValueError, KeyError, TypeError) as error:
-            return _respond(start_response, "400 Bad Request", {"error": repr(error)})
+            self._take(instance, call, environ["wsgi.input"].read(MAX_BODY_BYTES))
+        except DamagedReport as error:
+            self._node.report(
+                "damaged_report", name=instance, field=error.field, why=str(error)
+            )
+            return _respond(start_response, "400 Bad Request", {"error": str(error)})
+        except OSError as error:
+            # The writer ended in the middle of its report.
+            return _respond(start_response, "400 Bad Request", {"error": str(error)})
         return _respond(start_response, "200 OK", {})
 
-    def _beat(self, instance, fields):
-        host, _, port = fields["address"].rpartition(":")
-        slots = _whole(fields["slots"], "slots")
-        if not host or not 0 < int(port) < 65536 or slots < 1:
-            raise ValueError("expected an address IP:PORT and one slot or more")
-        self._life.heard(
-            Announcement(
-                name=instance,
-                service=str(fields["service"]),
-                host=host,
-                port=int(port),
-                slots=slots,
-                connections=slots + SPARE_CONNECTIONS,
-                checks_fences=True,
-                instance=instance,
-                born_ms=_born_ms(fields),
-            ),
-            sequence=_whole(fields["sequence"], "sequence"),
-            leaving=fields["state"] == "draining",
-        )
-
-
-def _said(body):
-    """Return the fields of a word that may have none."""
-    fields = orjson.loads(body) if body else {}
-    if not isinstance(fields, dict):
-        raise TypeError(f"found {fields!r}; expected an object")
-    return fields
-
-
-def _born_ms(fields):
-    """Return the server's start, or ``None`` where it doesn't say."""
-    born_ms = fields.get("born")
-    return None if born_ms is None else _whole(born_ms, "born")
-
-
-def _whole(value, name):
-    """Return a whole number; raises `ValueError` for a text, a truth, a fraction.
-
-    A start or a number that is compared with others of another type would raise with
-    each later heartbeat, and the server be silent for its node.
-    """
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{name}: found {value!r}; expected a whole number")
-    return value
+    def _take(self, instance, call, body):
+        if call == "deregister":
+            self._life.leaves(read_deregistration(instance, body))
+            return
+        said = read_heartbeat(instance, body)
+        self._check_service(said.announcement.service)
+        self._life.heard(said.announcement, said.sequence, said.leaving)
+
+    def _check_service(self, name):
+        if name != self._service and self._node.routes.table.service(name) is None:
+            raise DamagedReport("service", name, "a service that is configured")
 
 
 def _respond(start_response, status, fields):
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -142,7 +142,7 @@
         operators = OperatorPort(node)
         return [
             self.front,
-            HeartbeatPort(node, self.life, settings.heartbeats),
+            HeartbeatPort(node, self.life, settings.heartbeats, settings.service),
             _ready_server(node, settings.ready),
             operators.make_server(settings.node.host, settings.node.operator_port),
         ]
--- /dev/null
+++ b/comfreywharf/platform/tests/reports.py
@@ -0,0 +1,54 @@
+"""Builders of what backend servers say, whole and damaged."""
+
+import orjson
+from hypothesis import strategies as st
+
+__all__ = ["GOOD", "damaged_reports", "report"]
+
+GOOD = {
+    "service": "booking",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemaining": "0ms",
+    "sequence": 4,
+    "born": 1_000,
+}
+
+_OTHERS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**64 - 1),
+    st.floats(),
+    st.text(max_size=12),
+    st.lists(st.integers(0, 9), max_size=2),
+    st.dictionaries(st.sampled_from(["a", "born"]), st.integers(0, 9), max_size=2),
+)
+
+
+def report(**changed):
+    """Return the bytes of a heartbeat with some fields changed."""
+    return orjson.dumps({**GOOD, **changed})
+
+
+@st.composite
+def damaged_reports(draw):
+    """Draw a heartbeat that was changed in its fields, and then in its bytes.
+
+    It may still be a good one: a text in the place of another, or nothing changed.
+    """
+    fields = dict(GOOD)
+    for name in draw(st.lists(st.sampled_from(sorted(GOOD)), max_size=3)):
+        if draw(st.booleans()):
+            fields.pop(name, None)
+        else:
+            fields[name] = draw(_OTHERS)
+    body = bytearray(orjson.dumps(fields))
+    for _ in range(draw(st.integers(0, 3))):
+        place = draw(st.integers(0, max(0, len(body) - 1)))
+        piece = draw(st.binary(max_size=3))
+        body[place : place + draw(st.integers(0, 4))] = piece
+    cut = draw(st.integers(0, len(body)))
+    return bytes(body if draw(st.booleans()) else body[:cut])
