Drop a property that only a test used

Cause: `open_count` has no reader in the product since the rule on the last connection moved. Ruled out: nothing.

--- a/comfreywharf/daemon/bound_pool.py
+++ b/comfreywharf/daemon/bound_pool.py
@@ -109,11 +109,6 @@
         self._changed = Event()
         self._room = self.size
 
-    @property
-    def open_count(self):
-        """Return how many connections are open."""
-        return len(self._open)
-
     @property
     def missing(self):
         """Return how many connections are still to be opened."""
--- a/comfreywharf/daemon/tests/test_bound_pool.py
+++ b/comfreywharf/daemon/tests/test_bound_pool.py
@@ -175,7 +175,7 @@
     client._refilling.join(timeout=WAIT_S)
     waiting = gevent.spawn(client.borrow, process)
     gevent.idle()
-    assert client._pool.open_count == 1
+    assert len(client._pool._open) == 1
     assert not waiting.ready()
     waiting.kill()
 
@@ -199,7 +199,7 @@
 
     client._question = question
     client._refilling.join(timeout=WAIT_S)
-    assert client._pool.open_count == 1
+    assert len(client._pool._open) == 1
     assert order(client, process)
 
 
