Lose only such nodes in a takeover that each other one keeps a majority

Cause: the tests of a witness and of a planner lost during a takeover named their nodes. Which witnesses a node has hangs on the order of announcements, and so on load; where a survivor had both lost nodes among its three witnesses, its lease lapsed, which is the limit that docs/design/ownership.md names.

--- a/comfreywharf_dev/failures/tests/builders.py
+++ b/comfreywharf_dev/failures/tests/builders.py
@@ -21,6 +21,7 @@
 __all__ = [
     "KEYS",
     "Later",
+    "bearable_losses",
     "effect",
     "grant",
     "others_than",
@@ -100,6 +101,28 @@
     return owner, key, others_than(cluster, owner)
 
 
+def bearable_losses(cluster, seen_by):
+    """Return the pairs of nodes whose loss leaves each other node's lease a majority.
+
+    Which witnesses a node has hangs on the order in which nodes announced themselves,
+    and so on the machine's load. One that loses two of its three has no lease until one
+    of them is back or replaced, which is a known limit and has a test of its own.
+    """
+    members = cluster.state(seen_by)["members"]
+    groups = {name: set(member["witnesses"]) for name, member in members.items()}
+    return [
+        (one, other)
+        for one in groups
+        for other in groups
+        if one != other
+        and not any(
+            {one, other} <= group
+            for name, group in groups.items()
+            if name not in (one, other)
+        )
+    ]
+
+
 def owns(cluster, seen_by, node_id):
     """Return whether a node owns any slice, as another one knows it."""
     pieces = cluster.state(seen_by)["slices"]["booking"]["slices"]
--- a/comfreywharf_dev/failures/tests/test_owner_losses.py
+++ b/comfreywharf_dev/failures/tests/test_owner_losses.py
@@ -9,6 +9,7 @@
 from comfreywharf_dev.failures.tests.builders import (
     KEYS,
     Later,
+    bearable_losses,
     others_than,
     pick_owner,
     running_cluster,
@@ -117,10 +118,13 @@
     VM is lost; before the standby has its lease, a witness is lost as well.
     Cause: the standby waits for a witness that doesn't come back.
     """
-    owner, witness = "booking-1", "booking-4"
     with running_cluster(tmp_path, booking=6) as cluster:
+        owner, witness = next(
+            (one, other)
+            for one, other in bearable_losses(cluster, "booking-1")
+            if other in witnesses_of(cluster, one)
+        )
         survivors = others_than(cluster, owner, witness)
-        assert witness in witnesses_of(cluster, owner)
         with Callers(cluster, KEYS, node_ids=survivors) as callers:
             callers.wait_served()
             cluster.kill_vm(owner)
@@ -141,11 +145,10 @@
     """
     with running_cluster(tmp_path, booking=6) as cluster:
         planner = cluster.state("booking-1")["planner_id"]
-        domain = cluster.plans[planner].failure_domain
         owner = next(
-            one.node_id
-            for one in cluster.plans.values()
-            if one.failure_domain == domain and one.node_id != planner
+            one
+            for one, other in bearable_losses(cluster, "booking-1")
+            if other == planner
         )
         survivors = others_than(cluster, owner, planner)
         with Callers(cluster, KEYS, node_ids=survivors) as callers:
