--- a/comfreywharf/daemon/tests/test_held_requests.py
+++ b/comfreywharf/daemon/tests/test_held_requests.py
@@ -7,22 +7,12 @@
 from comfreywharf.daemon import leases as leases_module
 from comfreywharf.daemon.node import Node
 from comfreywharf.daemon.ports import OwnPorts
+from comfreywharf.daemon.tests.builders import node_settings
 from comfreywharf.ownership import Grant, Right
 from comfreywharf.ownership.holder import OwnLease
 from comfreywharf.routing import Reason
-from comfreywharf.settings.model import Address, NodeSettings
-
-SETTINGS = NodeSettings(
-    node_id="n",
-    host="127.0.0.1",
-    caller_port=0,
-    peer_port=0,
-    operator_port=0,
-    backend_port=0,
-    failure_domain="d",
-    region="r",
-    log=Address("127.0.0.1", 1),
-)
+
+SETTINGS = node_settings()
 
 
 @pytest.fixture
--- a/comfreywharf/daemon/tests/test_lease_and_log.py
+++ b/comfreywharf/daemon/tests/test_lease_and_log.py
@@ -8,21 +8,11 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.node import Node
 from comfreywharf.daemon.ports import OwnPorts
+from comfreywharf.daemon.tests.builders import node_settings
 from comfreywharf.ownership import SendRenewal
 from comfreywharf.ownership.holder import OwnLease
-from comfreywharf.settings.model import Address, NodeSettings
-
-SETTINGS = NodeSettings(
-    node_id="n",
-    host="127.0.0.1",
-    caller_port=0,
-    peer_port=0,
-    operator_port=0,
-    backend_port=0,
-    failure_domain="d",
-    region="r",
-    log=Address("127.0.0.1", 1),
-)
+
+SETTINGS = node_settings()
 
 
 def grant_by_majority(holder, now_s):
