Copy holds whole in the search of lives

Cause: the search copies its states field by field, and a hold's new field, the time that an order on its way asks for, was left out and not part of the state's key. So the search explored a book that tells a shorter end than the product's does. Seen when the change was read once more. Ruled out: a breach that was hidden by it: none is found now either. All tests without processes: 744 passed, 1 known red. No assertion and no product code changed.

--- a/comfreywharf/ownership/tests/lives_parts.py
+++ b/comfreywharf/ownership/tests/lives_parts.py
@@ -3,6 +3,7 @@
 Each part can be copied, and has a key by which two states of the world are alike.
 """
 
+import copy
 import functools
 
 import attrs
@@ -90,14 +91,7 @@
     answer: GrantAnswer | None = None
 
     def copy(self):
-        return Sending(
-            order=self.order,
-            process=self.process,
-            serial=self.serial,
-            connection=self.connection,
-            asked=self.asked,
-            answer=self.answer,
-        )
+        return copy.copy(self)
 
 
 def copy_bond(bond):
@@ -110,16 +104,7 @@
 
 def copy_hold(hold):
     """Return an equal hold that goes its own way."""
-    return type(hold)(
-        start=hold.start,
-        end=hold.end,
-        fence=hold.fence,
-        taken_until_s=hold.taken_until_s,
-        maybe_until_s=hold.maybe_until_s,
-        lost_until_s=hold.lost_until_s,
-        asking=hold.asking,
-        outdated=hold.outdated,
-    )
+    return copy.copy(hold)
 
 
 def copy_book(book):
@@ -156,6 +141,7 @@
         max(0, hold.taken_until_s - now),
         max(0, hold.maybe_until_s - now),
         max(0, hold.lost_until_s - now),
+        hold.asked_s if hold.asking else 0,
         hold.asking,
         hold.outdated,
     )
@@ -172,13 +158,7 @@
     inbox: tuple = ()
 
     def copy(self):
-        return Life(
-            number=self.number,
-            highest=self.highest,
-            had=self.had,
-            held_until=self.held_until,
-            inbox=self.inbox,
-        )
+        return copy.copy(self)
 
     def key(self, now):
         return (
--- a/comfreywharf/ownership/tests/test_lives_search.py
+++ b/comfreywharf/ownership/tests/test_lives_search.py
@@ -1,8 +1,8 @@
 """All that may happen in a small world of servers that crash and begin again.
 
 Each search goes through every sequence of events within its bounds. As measured:
-``CRASHES`` 7 steps, 17,666 states; ``LOSSES`` 8 steps, 5,092; ``RESTARTS`` 8 steps,
-15,123; ``BOTH`` 5 steps, 8,333.
+``CRASHES`` 7 steps, 17,698 states; ``LOSSES`` 8 steps, 5,092; ``RESTARTS`` 8 steps,
+15,123; ``BOTH`` 5 steps, 8,335.
 
 Three mechanisms aren't needed within the bounds of ``CRASHES``: with each of them off,
 no breach was found. That `HoldBook.clear` bars used fences: the lease always begins
