--- a/comfreywharf/daemon/backend_life.py
+++ b/comfreywharf/daemon/backend_life.py
@@ -29,7 +29,11 @@
         self._verifying = set()
 
     def heard(self, announcement, sequence, leaving):
-        """Take a heartbeat."""
+        """Take a heartbeat; return whether the living life in use sent it.
+
+        A report of a former life, or one that was overtaken, says nothing of what the
+        living one holds, and its answer mustn't grant anything.
+        """
         life = announcement.life
         word = self._instances.hear(life, sequence, leaving, boottime_s())
         if word is Word.FIRST:
@@ -52,6 +56,8 @@
             self._node.backend_announced(self._announced)
         if word is Word.LEAVES:
             self._leave()
+        speaks = self._instances.living == life and word is not Word.STALE
+        return speaks and self._node.backend is not None
 
     def leaves(self, life):
         """Take the word of a server that it leaves, or has left."""
--- /dev/null
+++ b/comfreywharf/daemon/caller_stream.py
@@ -0,0 +1,281 @@
+"""Callers' requests as they come on one connection, each one's bytes kept apart.
+
+Callers send further requests before the first is answered. Where one request ends and
+the next begins is found here and nowhere else: a head ends with the first empty line, a
+body after the length that its head names. The parser gets the bytes of one request
+only, so that it can't take the bytes behind them for a part of it.
+"""
+
+import attrs
+import gevent
+import httptools
+
+__all__ = [
+    "BLOCK_BYTES",
+    "Arrived",
+    "BadRequest",
+    "CallerGone",
+    "CallerStream",
+    "FrontLimits",
+    "Head",
+]
+
+BLOCK_BYTES = 64 * 1024
+HEAD_END = b"\r\n\r\n"
+
+
+@attrs.frozen(kw_only=True)
+class FrontLimits:
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@attrs.define(kw_only=True)
+class Head:
+    """The first part of a request: all but its body.
+
+    ``length`` is -1 for a chunked body. ``headers`` are pairs as they came, names
+    in lower case.
+    """
+
+    method: str
+    target: str
+    headers: list
+    length: int
+    keeps: bool
+
+    def get(self, name, default=None):
+        """Return the only value of a header; ``default`` if it isn't there."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return default
+
+
+class BadRequest(Exception):
+    """A request that can't be read; ``status`` is the answer to it."""
+
+    def __init__(self, status):
+        super().__init__(str(status))
+        self.status = status
+
+
+class CallerGone(Exception):
+    """The caller has closed its connection."""
+
+
+class _Parse:
+    """Collects what httptools tells of one request."""
+
+    def __init__(self):
+        self.url = b""
+        self.headers = []
+        self.head_done = False
+        self.parts = []
+        self.done = False
+        self.extra = False
+        self.parser = None
+        self.keeps = False
+
+    def on_message_begin(self):
+        # Bytes behind the end of a chunked body, or of a head that ended otherwise
+        # than looked for. Taken for a request of their own they could have been put
+        # there by somebody else; the connection is closed after this answer, and
+        # their sender sends again.
+        if self.done:
+            self.extra = True
+
+    def on_url(self, url):
+        if not self.extra:
+            self.url += url
+
+    def on_header(self, name, value):
+        if not self.extra:
+            self.headers.append((name.decode("latin-1").lower(), _text(value)))
+
+    def on_headers_complete(self):
+        # Once the request's end is parsed as well, the parser answers for the next
+        # request: a caller that asked for it never saw its connection closed.
+        if self.parser is not None:
+            self.keeps = self.parser.should_keep_alive()
+        # Kept, the two would hold each other until the garbage collection.
+        self.parser = None
+        self.head_done = True
+
+    def on_body(self, data):
+        if not self.extra:
+            self.parts.append(data)
+
+    def on_message_complete(self):
+        self.done = True
+
+
+def _text(value):
+    return value.strip(b" \t").decode("latin-1")
+
+
+class CallerStream:
+    """The bytes of one caller's connection, divided into requests."""
+
+    def __init__(self, sock, limits):
+        self.sock = sock
+        self._limits = limits
+        self._buffer = b""
+
+    @property
+    def has_bytes(self):
+        """Return whether bytes of a further request were received."""
+        return bool(self._buffer)
+
+    def await_bytes(self):
+        """Wait for the first byte of the next request; raises `CallerGone`."""
+        if not self._buffer:
+            self._buffer = self._receive()
+
+    def read_request(self):
+        """Return the next `Arrived` request; raises `BadRequest` or `CallerGone`."""
+        parse = _Parse()
+        parser = httptools.HttpRequestParser(parse)
+        parse.parser = parser
+        read_bytes = 0
+        with gevent.Timeout(self._limits().header_timeout_s, BadRequest(408)):
+            while not parse.head_done:
+                piece = self._take_head_piece()
+                read_bytes += len(piece)
+                self._check_size(parse, read_bytes)
+                feed(parser, parse, piece)
+        return Arrived(self, parse, _head(parse, parser), parser)
+
+    def _take_head_piece(self):
+        """Return bytes up to the end of the head, or all but a part of that end."""
+        while True:
+            end = self._buffer.find(HEAD_END)
+            if end >= 0:
+                return self.take(end + len(HEAD_END))
+            if len(self._buffer) > self._limits().header_bytes:
+                raise BadRequest(431)
+            self._buffer += self._receive()
+
+    def _check_size(self, parse, read_bytes):
+        limit = self._limits().header_bytes
+        if read_bytes > limit:
+            raise BadRequest(431)
+        size = sum(len(n) + len(v) + 4 for n, v in parse.headers)
+        if size + len(parse.url) > limit:
+            raise BadRequest(431)
+
+    def take(self, size):
+        """Return up to so many bytes that were received already."""
+        data, self._buffer = self._buffer[:size], self._buffer[size:]
+        return data
+
+    def receive_up_to(self, size):
+        """Return at least one of the next ``size`` bytes; raises `CallerGone`."""
+        self.await_bytes()
+        return self.take(size)
+
+    def _receive(self):
+        try:
+            data = self.sock.recv(BLOCK_BYTES)
+        except OSError as error:
+            raise CallerGone from error
+        if not data:
+            raise CallerGone
+        return data
+
+
+def feed(parser, parse, data):
+    """Give bytes of a request to its parser; raises `BadRequest`."""
+    try:
+        parser.feed_data(data)
+    except httptools.HttpParserUpgrade as error:
+        raise BadRequest(400) from error
+    except httptools.HttpParserError as error:
+        if not parse.done:
+            raise BadRequest(400) from error
+        parse.extra = True
+
+
+def _head(parse, parser):
+    names = [name for name, _ in parse.headers]
+    for once in ("host", "content-length", "transfer-encoding"):
+        if names.count(once) > 1:
+            raise BadRequest(400)
+    head = Head(
+        method=parser.get_method().decode("ascii"),
+        target=parse.url.decode("latin-1"),
+        headers=parse.headers,
+        length=0,
+        keeps=parse.keeps,
+    )
+    coding = head.get("transfer-encoding")
+    if coding is not None:
+        if coding.lower() != "chunked" or "content-length" in names:
+            raise BadRequest(400)
+        head.length = -1
+    else:
+        head.length = int(head.get("content-length") or 0)
+    expected = head.get("expect")
+    if expected is not None and expected.lower() != "100-continue":
+        raise BadRequest(417)
+    return head
+
+
+class Arrived:
+    """One request: its head, and its body as far as it was read.
+
+    ``turn`` is waited for before the caller is asked to go on with a body, since that
+    word would stand among the answers to the requests before.
+    """
+
+    def __init__(self, stream, parse, head, parser):
+        self.head = head
+        self.sock = stream.sock
+        self.turn = None
+        self._stream = stream
+        self._parse = parse
+        self._parser = parser
+        self._left = head.length
+        self._continues = head.get("expect") is not None
+        if not self.whole and stream.has_bytes:
+            self._feed(stream.take(self._wanted_bytes))
+
+    @property
+    def whole(self):
+        """Return whether the request was read to its end, and no further."""
+        return self._parse.done and not self._parse.extra
+
+    @property
+    def _wanted_bytes(self):
+        return BLOCK_BYTES if self._left < 0 else min(self._left, BLOCK_BYTES)
+
+    def _feed(self, data):
+        if self._left > 0:
+            self._left -= len(data)
+        feed(self._parser, self._parse, data)
+
+    def _receive(self):
+        self._feed(self._stream.receive_up_to(self._wanted_bytes))
+
+    def read(self, size):
+        """Return the next part of the body, nothing at its end.
+
+        Raises `OSError` where the body is cut or can't be read. ``size`` only
+        bounds what is wanted; a part is what one read of the socket gave.
+        """
+        if self._continues and not self._parse.parts:
+            self._continues = False
+            if self.turn is not None:
+                self.turn.wait()
+            self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        while not self._parse.parts and not self._parse.done:
+            try:
+                self._receive()
+            except (CallerGone, BadRequest) as error:
+                raise OSError("the body is cut") from error
+        if not self._parse.parts:
+            return b""
+        return self._parse.parts.pop(0)
--- a/comfreywharf/daemon/caller_watch.py
+++ b/comfreywharf/daemon/caller_watch.py
@@ -79,14 +79,14 @@
                 if now_s > call.deadline_s:
                     _end_reading(call)
             elif (number := call.sock.fileno()) >= 0:
-                waiting[number] = call
+                waiting.setdefault(number, []).append(call)
                 poll.register(number, _HUNG_UP)
         if not waiting:
             return
         for number, _ in poll.poll(0):
-            call = waiting[number]
-            call.gone = True
-            self._on_gone(call)
+            for call in waiting[number]:
+                call.gone = True
+                self._on_gone(call)
 
 
 def _end_reading(call):
--- a/comfreywharf/daemon/front.py
+++ b/comfreywharf/daemon/front.py
@@ -1,10 +1,10 @@
 """An HTTP/1.1 server for callers that keep connections and leave early.
 
 gevent's own WSGI server can't tell a caller that its connection will be closed
-before it closes it, bounds neither idle nor header time, and has no place where a
-stopping process can tell an idle connection from one that a request is on. Those
-decide whether a planned stop cuts a request; hence this server, on gevent's
-`StreamServer` and the parser of httptools.
+before it closes it, bounds neither idle nor header time, serves one request of a
+connection at a time, and has no place where a stopping process can tell an idle
+connection from one that a request is on. Those decide whether a planned stop cuts a
+request; hence this server, on gevent's `StreamServer` and the parser of httptools.
 """
 
 import contextlib
@@ -12,18 +12,27 @@
 
 import attrs
 import gevent
-import httptools
 from absl import logging
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
+from comfreywharf.daemon.caller_stream import (
+    BLOCK_BYTES,
+    BadRequest,
+    CallerGone,
+    CallerStream,
+)
 from comfreywharf.daemon.http import cut_connection
 
-__all__ = ["Answer", "CallerServer", "FrontLimits", "Head"]
+__all__ = ["Answer", "CallerServer"]
 
-BLOCK_BYTES = 64 * 1024
 BACKLOG = 1024
 
+MOST_AT_ONCE = 16
+"""How many requests of one connection are served at a time. Further ones stay unread,
+so that a caller's row takes no more memory than this and the socket's buffer."""
+
 MAX_LEFT_BYTES = 256 * 1024
 """How much of a body that nobody wanted is read so that its connection can go on."""
 
@@ -34,37 +43,6 @@
 _BODILESS = frozenset({204, 304})
 
 
-@attrs.frozen(kw_only=True)
-class FrontLimits:
-    """What a caller may send, and how long it may take."""
-
-    header_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
-@attrs.define(kw_only=True)
-class Head:
-    """The first part of a request: all but its body.
-
-    ``length`` is -1 for a chunked body. ``headers`` are pairs as they came, names
-    in lower case.
-    """
-
-    method: str
-    target: str
-    headers: list
-    length: int
-    keeps: bool
-
-    def get(self, name, default=None):
-        """Return the only value of a header; ``default`` if it isn't there."""
-        for known, value in self.headers:
-            if known == name:
-                return value
-        return default
-
-
 @attrs.frozen(kw_only=True)
 class Answer:
     """What a caller is sent. ``parts`` replace ``body`` where they are given.
@@ -79,201 +57,92 @@
     length: int = -1
 
 
-class _Bad(Exception):
-    """A request that can't be read; ``status`` is the answer to it."""
-
-    def __init__(self, status):
-        super().__init__(str(status))
-        self.status = status
-
-
-class _Gone(Exception):
-    """The caller has closed its connection."""
-
+class _Turn:
+    """A request's place among those of its connection: its answer's turn to be sent."""
 
-class _Parse:
-    """Collects what httptools tells of one request."""
+    def __init__(self, before):
+        self.before = before
+        self.done = Event()
 
-    def __init__(self):
-        self.url = b""
-        self.headers = []
-        self.header_bytes = 0
-        self.head_done = False
-        self.parts = []
-        self.done = False
-        self.extra = False
-        self.parser = None
-        self.keeps = False
-
-    def on_message_begin(self):
-        # Bytes behind the request's end. Taken for a request of their own they
-        # could have been put there by somebody else; the connection is closed
-        # after this answer, and their sender sends again.
-        if self.done:
-            self.extra = True
-
-    def on_url(self, url):
-        if not self.extra:
-            self.url += url
-
-    def on_header(self, name, value):
-        if not self.extra:
-            self.headers.append((name.decode("latin-1").lower(), _text(value)))
-
-    def on_headers_complete(self):
-        # Once the request's end is parsed as well, the parser answers for the next
-        # request: a caller that asked for it never saw its connection closed.
-        if self.parser is not None:
-            self.keeps = self.parser.should_keep_alive()
-        # Kept, the two would hold each other until the garbage collection.
-        self.parser = None
-        self.head_done = True
-
-    def on_body(self, data):
-        if not self.extra:
-            self.parts.append(data)
-
-    def on_message_complete(self):
-        self.done = True
-
-
-def _text(value):
-    return value.strip(b" \t").decode("latin-1")
+    def wait(self):
+        """Wait until the answers before were sent."""
+        if self.before is not None:
+            self.before.done.wait()
+            # Kept, each request would hold all those before it.
+            self.before = None
 
 
 class _Connection:
-    """One caller's connection."""
+    """One caller's connection, and the requests of it that are being served."""
 
     def __init__(self, sock, limits):
         self.sock = sock
+        self.stream = CallerStream(sock, limits)
         self._limits = limits
-        self._parse = None
-        self._parser = None
-        self.continues = False
-        self.idle = True
-
-    def read_head(self):
-        """Return the `Head` of the next request; raises `_Bad` or `_Gone`."""
-        self.idle = True
-        self._parse = _Parse()
-        self._parser = httptools.HttpRequestParser(self._parse)
-        self._parse.parser = self._parser
-        self._receive_first(self._limits().idle_timeout_s)
-        self.idle = False
-        with gevent.Timeout(self._limits().header_timeout_s, _Bad(408)):
-            while not self._parse.head_done:
-                self._check_size()
-                self._receive()
-        self._check_size()
-        return self._head()
-
-    def _receive_first(self, timeout_s):
-        with gevent.Timeout(timeout_s, _Gone()):
-            data = self._recv()
-        self._feed(data)
-
-    def _check_size(self):
-        limit = self._limits().header_bytes
-        if self._parse.header_bytes > limit + BLOCK_BYTES:
-            raise _Bad(431)
-        if not self._parse.head_done and self._parse.header_bytes > limit:
-            raise _Bad(431)
-        size = sum(len(n) + len(v) + 4 for n, v in self._parse.headers)
-        if size + len(self._parse.url) > limit:
-            raise _Bad(431)
-
-    def _receive(self):
-        self._feed(self._recv())
-
-    def _recv(self):
-        try:
-            data = self.sock.recv(BLOCK_BYTES)
-        except OSError as error:
-            raise _Gone from error
-        if not data:
-            raise _Gone
-        return data
-
-    def _feed(self, data):
-        if not self._parse.head_done:
-            self._parse.header_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise _Bad(400) from error
-        except httptools.HttpParserError as error:
-            if not self._parse.done:
-                raise _Bad(400) from error
-            self._parse.extra = True
-
-    def _head(self):
-        parse = self._parse
-        names = [name for name, _ in parse.headers]
-        for once in ("host", "content-length", "transfer-encoding"):
-            if names.count(once) > 1:
-                raise _Bad(400)
-        head = Head(
-            method=self._parser.get_method().decode("ascii"),
-            target=parse.url.decode("latin-1"),
-            headers=parse.headers,
-            length=0,
-            keeps=parse.keeps,
-        )
-        coding = head.get("transfer-encoding")
-        if coding is not None:
-            if coding.lower() != "chunked" or "content-length" in names:
-                raise _Bad(400)
-            head.length = -1
-        else:
-            head.length = int(head.get("content-length") or 0)
-        expected = head.get("expect")
-        if expected is not None and expected.lower() != "100-continue":
-            raise _Bad(417)
-        self.continues = expected is not None
-        return head
-
-    def read(self, size):
-        """Return the next part of the body, nothing at its end.
-
-        Raises `OSError` where the body is cut or can't be read. ``size`` only
-        bounds what is wanted; a part is what one read of the socket gave.
-        """
-        if self.continues and not self._parse.parts:
-            self.continues = False
-            self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-        while not self._parse.parts and not self._parse.done:
-            try:
-                self._receive()
-            except (_Gone, _Bad) as error:
-                raise OSError("the body is cut") from error
-        if not self._parse.parts:
-            return b""
-        return self._parse.parts.pop(0)
+        self.last = None
+        self.running = set()
+        self.reading = False
+        self.closing = False
+        self.was_cut = False
+        self.changed = Event()
+        self._reader = gevent.getcurrent()
+        self._reader_waits = False
 
     @property
-    def whole(self):
-        """Return whether the request was read to its end, and no further."""
-        return self._parse.done and not self._parse.extra
+    def idle(self):
+        """Return whether no request is on the connection."""
+        return not self.running and not self.reading
 
-    def skip_rest(self):
-        """Read what is left of a short body; return whether it was all.
+    def read_request(self, may_begin):
+        """Return the next request; raises `CallerGone` or `BadRequest`.
 
-        Closed with bytes unread, the connection would be reset, and the caller
-        might never see the answer that it was sent.
+        ``may_begin()`` is asked once its first byte is there; nothing more of it is
+        read where it says no.
         """
-        skipped = 0
+        self._reader_waits = True
         try:
-            with gevent.Timeout(LEFT_TIMEOUT_S):
-                while not self._parse.done and skipped < MAX_LEFT_BYTES:
-                    self._parse.parts.clear()
-                    skipped += BLOCK_BYTES
-                    self._receive()
-        except (gevent.Timeout, _Gone, _Bad):
-            return False
-        self._parse.parts.clear()
-        return self.whole
+            self._await_request()
+            self.await_room(MOST_AT_ONCE)
+            if not may_begin():
+                raise CallerGone
+            self.reading = True
+            return self.stream.read_request()
+        finally:
+            self._reader_waits = False
+            self.reading = False
 
-    def send(self, answer, head, close):
+    def _await_request(self):
+        while True:
+            try:
+                with gevent.Timeout(self._limits().idle_timeout_s):
+                    self.stream.await_bytes()
+                    return
+            except gevent.Timeout as error:
+                if not self.running:
+                    raise CallerGone from error
+
+    def await_room(self, most):
+        """Wait until fewer than so many requests are being served."""
+        while len(self.running) >= most and not self.closing:
+            self.changed.clear()
+            self.changed.wait()
+
+    def begin(self, request):
+        """Give a request its turn behind those before it."""
+        turn = _Turn(self.last)
+        self.last = turn
+        self.running.add(turn)
+        if request is not None:
+            request.turn = turn
+        return turn
+
+    def end(self, turn):
+        """Let the next answer be sent."""
+        self.running.discard(turn)
+        turn.done.set()
+        self.changed.set()
+
+    def send(self, answer, method, close):
         """Write an answer; raises `OSError`."""
         lines = [f"HTTP/1.1 {answer.status} {responses.get(answer.status, 'Answer')}"]
         lines += [f"{name}: {value}" for name, value in answer.headers]
@@ -290,7 +159,7 @@
         if close:
             lines.append("Connection: close")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-        bodiless = answer.status in _BODILESS or head.method == "HEAD"
+        bodiless = answer.status in _BODILESS or method == "HEAD"
         with gevent.Timeout(WRITE_TIMEOUT_S, OSError("the caller takes nothing")):
             if answer.parts is None:
                 self.sock.sendall(data if bodiless else data + answer.body)
@@ -311,19 +180,47 @@
 
     def cut(self):
         """Reset the connection, so that a part can't be taken for the whole."""
+        self.was_cut = True
         cut_connection(self.sock)
+        self.close()
+
+    def close(self):
+        """Read no further request."""
+        self.closing = True
+        self.changed.set()
+        if self._reader_waits:
+            gevent.kill(self._reader, CallerGone())
+
+    def linger(self):
+        """End the sending side, and read what the caller sent in the meantime.
+
+        Closed with bytes unread, the connection would be reset, and the caller
+        might never see the answer that it was sent.
+        """
+        self.sock.shutdown(socket.SHUT_WR)
+        read_bytes = 0
+        with gevent.Timeout(LEFT_TIMEOUT_S, False):
+            while read_bytes < MAX_LEFT_BYTES:
+                data = self.sock.recv(BLOCK_BYTES)
+                if not data:
+                    return
+                read_bytes += len(data)
 
 
 class CallerServer:
-    """Serve callers by an application: ``answer(head, connection) -> Answer``.
+    """Serve callers by an application: ``answer(head, request) -> Answer``.
 
-    ``limits()`` returns the `FrontLimits` in force. After `retire` each answer
-    says that its connection will be closed; after `refuse_new` no request is served.
+    Requests that come behind one another are served at the same time, and answered in
+    their order. One for which ``waits_for_others(head)`` is true is begun only once all
+    before it are answered. ``limits()`` returns the `FrontLimits` in
+    force. After `retire` the connections are closed behind the last answer; after
+    `refuse_new` no request is served.
     """
 
-    def __init__(self, host, port, application, limits):
+    def __init__(self, host, port, application, limits, waits_for_others=None):
         self._application = application
         self._limits = limits
+        self._waits_for_others = waits_for_others or (lambda head: False)
         self._connections = set()
         self._retiring = False
         self._refusing = False
@@ -344,7 +241,11 @@
         return sum(not connection.idle for connection in self._connections)
 
     def retire(self):
-        """Close each connection with its next answer."""
+        """Close each connection with its last answer, and read no further request.
+
+        A caller sends again what stands behind the answer that closes. Were such a
+        request passed on all the same, it would run twice.
+        """
         self._retiring = True
 
     def refuse_new(self):
@@ -367,37 +268,87 @@
         connection = _Connection(sock, self._limits)
         self._connections.add(connection)
         try:
-            while self._serve_one(connection):
+            while not connection.closing and self._read_one(connection):
                 pass
+            if connection.last is not None:
+                connection.last.done.wait()
+            self._connections.discard(connection)
+            if connection.closing and not connection.was_cut:
+                connection.linger()
         except OSError as error:
             logging.debug("caller %s: %s", address, error)
         finally:
             self._connections.discard(connection)
             sock.close()
 
-    def _serve_one(self, connection):
-        """Answer one request; return whether the connection goes on."""
+    def _read_one(self, connection):
+        """Read one request and begin it; return whether to read on."""
         try:
-            head = connection.read_head()
-        except _Gone:
+            request = connection.read_request(lambda: self._may_begin(connection))
+        except CallerGone:
             return False
-        except _Bad as error:
-            head = Head(method="GET", target="", headers=[], length=0, keeps=False)
-            connection.send(Answer(status=error.status), head, close=True)
+        except BadRequest as error:
+            bad = Answer(status=error.status)
+            self._answer_in_turn(connection, None, lambda: bad)
             return False
-        if self._refusing:
-            headers = (("Retry-After", "0"),)
-            answer = Answer(status=503, headers=headers, body=b"stopping\n")
-        else:
-            answer = self._application(head, connection)
-        # A body that wasn't read to its end is answered at once all the same,
-        # and its connection is closed behind the answer.
-        goes_on = head.keeps and connection.whole and not self._retiring
+        if connection.running and self._waits_for_others(request.head):
+            connection.await_room(1)
+        if not self._may_begin(connection):
+            return False
+        turn = connection.begin(request)
+        if request.whole and request.head.keeps:
+            gevent.spawn(self._answer, connection, request, turn)
+            return True
+        # The rest of its body, or nothing, follows on the connection.
+        self._answer(connection, request, turn)
+        return not connection.closing
+
+    def _may_begin(self, connection):
+        """Return whether a further request may be served.
+
+        Behind an answer that closes the connection it may not: its caller sends it
+        again, and it would run twice.
+        """
+        retires = self._retiring and connection.running
+        return not connection.closing and not retires
+
+    def _answer(self, connection, request, turn):
+        def ask():
+            if self._refusing:
+                headers = (("Retry-After", "0"),)
+                return Answer(status=503, headers=headers, body=b"stopping\n")
+            return self._application(request.head, request)
+
+        self._answer_in_turn(connection, request, ask, turn)
+
+    def _answer_in_turn(self, connection, request, ask, turn=None):
+        turn = turn or connection.begin(request)
         try:
-            connection.send(answer, head, close=not goes_on)
+            try:
+                answer = ask()
+            finally:
+                # Whatever comes of this one, those before it are answered first.
+                turn.wait()
+            if not connection.closing:
+                self._send(connection, request, answer, turn)
+        except OSError as error:
+            logging.debug("caller: %s", error)
+            connection.cut()
         except BaseException:
             connection.cut()
             raise
-        if not goes_on:
-            connection.skip_rest()
-        return goes_on
+        finally:
+            connection.end(turn)
+
+    def _send(self, connection, request, answer, turn):
+        """Send an answer; it closes the connection if no other request stands behind.
+
+        A body that wasn't read to its end is answered at once all the same, and its
+        connection is closed behind the answer.
+        """
+        ends = request is None or not request.head.keeps or not request.whole
+        close = ends or (self._retiring and connection.last is turn)
+        if close:
+            connection.close()
+        method = request.head.method if request else "GET"
+        connection.send(answer, method, close)
--- a/comfreywharf/daemon/grants.py
+++ b/comfreywharf/daemon/grants.py
@@ -1,15 +1,14 @@
 """Fenced grants: tell a backend server that checks them what it may serve."""
 
 import attrs
-import gevent
 import orjson
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.key_grants import KeyGrants
 
 __all__ = ["Grants"]
 
-PUSH_INTERVAL_S = 0.1
 SPARE_S = 0.05
 """A grant that ends sooner is renewed before a request relies on it."""
 
@@ -20,7 +19,7 @@
     until_s: float
 
 
-class Grants:
+class Grants(KeyGrants):
     """Keep the grants of the backend server beside this node up to date.
 
     Each message carries all grants and replaces those before it, so that a lost
@@ -33,12 +32,10 @@
         self._pushed = {}
         self._running = None
 
-    def run(self):
-        """Renew the grants until the greenlet is killed."""
-        while True:
-            gevent.sleep(PUSH_INTERVAL_S)
-            if self._wanted():
-                self.push()
+    def look(self):
+        """Renew all grants."""
+        if self._wanted():
+            self.push()
 
     def ensure(self, right, now_s):
         """Have the backend server hold the grant of a `Right` before it is used.
--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/leases.py
@@ -67,6 +67,7 @@
         self._wanted = True
         self._granted = Event()
         self._released = Event()
+        self._listeners = []
         self._perform = {
             SendRenewal: self._send_renewal,
             SendClaim: self._send_claim,
@@ -120,10 +121,32 @@
             right = self._ask_right(service, key, now_s, deadline_s - now_s)
         return right
 
+    def subscribe(self, listener):
+        """Call ``listener()`` whenever something else may be served than before."""
+        self._listeners.append(listener)
+
     def _wake_held(self):
         """Let the requests that are held here ask again."""
         self._released.set()
         self._released.clear()
+        self._tell_listeners()
+
+    def _tell_listeners(self):
+        for listener in self._listeners:
+            listener()
+
+    def renew_now(self, timeout_s):
+        """Ask the witnesses, and wait until the lease counts from now or so.
+
+        Whatever is granted for as long as the lease lasts is then granted for nearly a
+        whole lease.
+        """
+        asked_s = boottime_s()
+        wanted_s = self.terms.held_until_s(asked_s)
+        with gevent.Timeout(timeout_s, False):
+            self.force_round()
+            while self.holder.lease.until_s() < wanted_s:
+                self._granted.wait()
 
     def _cover(self, service, key, right):
         """Tell the witnesses of a long deadline before anything is forwarded.
@@ -309,6 +332,7 @@
         self._granted.clear()
         if self.holder.phase == "starting" or self.agent.claims:
             self._wake.set()
+            self._tell_listeners()
 
     def _send_unclaim(self, action):
         request = claim_request(action.claim)
@@ -396,3 +420,4 @@
         self.agent.folded(state, record, result, boottime_s())
         if result.changed:
             self._wake.set()
+            self._tell_listeners()
--- a/comfreywharf/daemon/tests/test_front.py
+++ b/comfreywharf/daemon/tests/test_front.py
@@ -6,7 +6,8 @@
 import pytest
 from gevent import socket
 
-from comfreywharf.daemon.front import Answer, CallerServer, FrontLimits
+from comfreywharf.daemon.caller_stream import FrontLimits
+from comfreywharf.daemon.front import Answer, CallerServer
 
 
 class Application:
@@ -135,12 +136,26 @@
     assert exchange(server, b"") == b""
 
 
-def test_bytes_behind_a_request_arent_taken_for_another(server, application):
-    """Symptom: a server runs a request that no caller sent.
+def test_a_request_behind_a_body_begins_where_the_body_ends(server, application):
+    """Symptom: a server runs a request that no caller sent, or a body is too long.
     Sequence: a second request lies behind the first one's body in one segment.
-    Cause: it was taken for the caller's next one. The connection is closed."""
-    data = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok" + GET
-    assert exchange(server, data).count(b"HTTP/1.1 200") == 1
+    Cause: the parser was given both; now it gets the bytes of one request only."""
+    data = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok" + LAST
+    first, second = exchange(server, data).split(b"HTTP/1.1 200")[1:]
+    assert first.endswith(b"ok") and second.endswith(b"empty")
+    assert sorted(head.target for head in application.heads) == ["/a", "/z"]
+    assert sorted(application.bodies) == [b"", b"ok"]
+
+
+def test_bytes_behind_a_chunked_body_arent_taken_for_another(server, application):
+    """Symptom: a server runs a request that no caller sent.
+    Sequence: a second request lies behind the first one's chunks in one segment.
+    Cause: where chunks end is found by the parser alone, and hops may differ in it.
+    The connection is closed, and the caller sends again."""
+    chunked = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = chunked + b"2\r\nok\r\n0\r\n\r\n" + GET
+    answer = exchange(server, data)
+    assert answer.count(b"HTTP/1.1 200") == 1 and b"Connection: close" in answer
     assert [head.target for head in application.heads] == ["/a"]
 
 
--- a/comfreywharf/daemon/tests/test_outdated_grants.py
+++ b/comfreywharf/daemon/tests/test_outdated_grants.py
@@ -8,6 +8,7 @@
 from comfreywharf.daemon.backend import Announcement
 from comfreywharf.daemon.range_grants import Orders, RangeGrants
 from comfreywharf.ownership.holds import GrantAnswer, HoldTerms
+from comfreywharf.ownership.listed_holds import ListedHoldBook
 from comfreywharf.records import KEY_SPACE, Slice
 
 PIECE = Slice(start=0, end=KEY_SPACE, owner="a", epoch=5)
@@ -62,7 +63,7 @@
         report=lambda *args, **fields: None,
     )
     node.leases.begin_anew = node.leases.begun_anew.append
-    return RangeGrants(node, TERMS, 1.0)
+    return RangeGrants(node, ListedHoldBook.of_new_process(TERMS, boottime_s()), 1.0)
 
 
 def test_a_refusal_of_an_earlier_fence_doesnt_end_a_newer_lease():
--- a/comfreywharf/daemon/tests/test_range_grants.py
+++ b/comfreywharf/daemon/tests/test_range_grants.py
@@ -10,6 +10,7 @@
 from comfreywharf.daemon.range_grants import Orders, RangeGrants
 from comfreywharf.load.admission import Result
 from comfreywharf.ownership.holds import GrantAnswer, HoldTerms
+from comfreywharf.ownership.listed_holds import ListedHoldBook
 from comfreywharf.records import KEY_SPACE, Slice
 from comfreywharf.routing import Reason
 
@@ -48,7 +49,9 @@
         follower=SimpleNamespace(state=None),
         report=lambda *args, **fields: None,
     )
-    return RangeGrants(node, HoldTerms(lease_s=1.5, longest_s=10.0), 1.0)
+    terms = HoldTerms(lease_s=1.5, longest_s=10.0)
+    book = ListedHoldBook.of_new_process(terms, boottime_s())
+    return RangeGrants(node, book, 1.0)
 
 
 def test_every_request_waits_for_a_grant_that_another_one_asked_for():
--- /dev/null
+++ b/comfreywharf/ownership/hold_lists.py
@@ -0,0 +1,267 @@
+"""What to answer to a heartbeat: the list of all that a backend server is to hold.
+
+A server that learns of its keys in this way says in each heartbeat what it holds and
+what it released. The answer lists what it is to hold, for a time that counts from when
+the heartbeat was sent. `HoldLists` decides which list, and what a heartbeat shows of
+the lists before. It knows no clock and no sockets.
+"""
+
+import attrs
+
+from comfreywharf.ownership.listed_holds import ListedHoldBook
+from comfreywharf.records import numbers_in, range_of_numbers
+
+__all__ = [
+    "HeldRange",
+    "HoldList",
+    "HoldLists",
+    "HoldReport",
+    "HoldRow",
+    "ReleasedRange",
+    "Serving",
+]
+
+LEAST_PART = 0.5
+"""A range whose lease has less than this part of the longest one left isn't granted
+yet: all ranges of a list have one time, and each would be granted for that short."""
+
+TIMELY_S = 0.9
+"""A server may drop a list that comes a second after its heartbeat was sent."""
+
+MOST_HANDOVERS = 256
+"""Handovers that are kept for next owners; nobody asks for most of the older ones."""
+
+
+@attrs.frozen(kw_only=True)
+class HeldRange:
+    """Numbers, first to last, that a server holds or still works on."""
+
+    first: int
+    last: int
+    fence: int
+
+
+@attrs.frozen(kw_only=True)
+class ReleasedRange:
+    """Numbers, first to last, that a server released, and what it hands over."""
+
+    first: int
+    last: int
+    handover: str
+
+
+@attrs.frozen(kw_only=True)
+class HoldReport:
+    """What a heartbeat says of keys. ``connection`` names the one it came on.
+
+    ``arrived_s`` is when it came: the server counts a hold from when it sent the
+    heartbeat, which was earlier.
+    """
+
+    service: str
+    connection: object
+    arrived_s: float
+    held: tuple[HeldRange, ...] = ()
+    released: tuple[ReleasedRange, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class HoldRow:
+    """Numbers, first to last, that a server is to hold."""
+
+    first: int
+    last: int
+    fence: int
+    handover: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class HoldList:
+    """All that a server is to hold, for ``hold_s`` from when its heartbeat was sent."""
+
+    rows: tuple[HoldRow, ...]
+    hold_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Serving:
+    """What a node may serve now, and what of its own it can't just yet.
+
+    ``served`` has ``(service, slice, fence, until_s)``; ``pending`` has
+    ``(service, slice)`` whose fence the witnesses don't know yet. ``lease_until_s`` is
+    when the node's own lease ends.
+    """
+
+    served: tuple
+    pending: tuple
+    lease_until_s: float
+
+
+@attrs.frozen
+class _Wish:
+    start: int
+    end: int
+    fence: int
+    until_s: float
+
+
+@attrs.frozen
+class _Sent:
+    """The newest list: on which connection, when, how timely, and its ranges."""
+
+    connection: object
+    timely: bool
+    wishes: tuple[_Wish, ...]
+
+
+@attrs.define
+class HoldLists:
+    """Decide on the lists for one backend server; ``most_rows`` fit in one answer."""
+
+    book: ListedHoldBook
+    most_rows: int = 90
+    _sent: _Sent | None = None
+    _handovers: list = attrs.Factory(list)
+    _release_wanted: bool = False
+
+    def forget(self):
+        """Begin anew with another life of the server."""
+        self._sent = None
+        self._handovers.clear()
+
+    def hear(self, report, now_s):
+        """Take a report; return whether the server refused a range of the last list.
+
+        It does so where it has seen a higher fence, and shows it only by what it lists.
+        """
+        reported = [range_of_numbers(held.first, held.last) for held in report.held]
+        for held in report.held:
+            hashes = range_of_numbers(held.first, held.last)
+            self.book.adopt(report.service, *hashes, held.fence, now_s)
+        known = [*self._handovers, *report.released]
+        self._handovers = list(dict.fromkeys(known))[-MOST_HANDOVERS:]
+        sent = self._sent
+        if sent is None or sent.connection != report.connection:
+            return False
+        self.book.settle(report.service, report.connection, reported, now_s)
+        return sent.timely and not all(
+            self._is_taken(wish, report, now_s) for wish in sent.wishes
+        )
+
+    def _is_taken(self, wish, report, now_s):
+        if self.book.is_stopped((report.service, wish.start), wish.fence):
+            return True
+        if now_s >= wish.until_s:
+            return True
+        numbers = numbers_in(wish.start, wish.end)
+        return numbers is None or any(
+            held.fence == wish.fence
+            and held.first <= numbers[1]
+            and numbers[0] <= held.last
+            for held in report.held
+        )
+
+    def release(self):
+        """Answer the next heartbeat at once: a range is to be released."""
+        self._release_wanted = True
+
+    def doubt(self, service, value):
+        """Take the server's word that it doesn't hold a key."""
+        self.book.doubt(service, value)
+
+    def take_out_handover(self, start, end):
+        """Return the newest handover of a range, and forget the others of it."""
+        numbers = numbers_in(start, end)
+        if numbers is None:
+            return ""
+        found = [r for r in self._handovers if _meet(r, *numbers)]
+        inside = [r for r in found if numbers[0] <= r.first and r.last <= numbers[1]]
+        self._handovers = [r for r in self._handovers if r not in inside]
+        return found[-1].handover if found else ""
+
+    def has_news(self, report, serving, now_s):
+        """Return whether keys wait for the next list, to be granted or released."""
+        if self._release_wanted:
+            return True
+        wishes = self._wishes(report.service, serving, now_s)
+        if not all(self.book.has(report.service, w.start, now_s) for w in wishes):
+            return True
+        listed = self._sent.wishes if self._sent else ()
+        return any(
+            now_s < old.until_s
+            and not any(w.start <= old.start < w.end for w in wishes)
+            for old in listed
+        )
+
+    def decide(self, report, serving, now_s):
+        """Return the `HoldList` to answer with now, or ``None`` for no list."""
+        self._release_wanted = False
+        wishes = self._wishes(report.service, serving, now_s)
+        ends_s = [wish.until_s for wish in wishes] or [serving.lease_until_s]
+        terms = self.book.terms
+        longest_s = min(min(ends_s) - report.arrived_s, terms.longest_s)
+        hold_s = longest_s / (1 + terms.slow_clock)
+        until_s = report.arrived_s + longest_s
+        if until_s < now_s + terms.shortest_s:
+            return None
+        listed = [attrs.evolve(wish, until_s=until_s) for wish in wishes]
+        self._sent = _Sent(
+            connection=report.connection,
+            timely=now_s < report.arrived_s + TIMELY_S,
+            wishes=tuple(listed),
+        )
+        rows = [self._row(report, wish, now_s) for wish in listed]
+        return HoldList(rows=_joined([r for r in rows if r]), hold_s=hold_s)
+
+    def _row(self, report, wish, now_s):
+        numbers = numbers_in(wish.start, wish.end)
+        if numbers is None:
+            return None
+        place = (report.service, wish.start)
+        self._handovers = [r for r in self._handovers if not _meet(r, *numbers)]
+        handover = self.book.listed(
+            place, wish.end, wish.fence, report.connection, wish.until_s, now_s
+        )
+        return HoldRow(
+            first=numbers[0], last=numbers[1], fence=wish.fence, handover=handover
+        )
+
+    def _wishes(self, service, serving, now_s):
+        """Return the ranges to list, those that are held already before the others."""
+        wishes = [
+            _Wish(piece.start, piece.end, fence, until_s)
+            for name, piece, fence, until_s in serving.served
+            if name == service and not self.book.is_stopped((name, piece.start), fence)
+        ]
+        for name, piece in serving.pending:
+            if name == service:
+                kept = self.book.kept(name, piece.start, piece.end, now_s)
+                wishes += [_Wish(*found, serving.lease_until_s) for found in kept]
+        held = [w for w in wishes if self.book.has(service, w.start, now_s)]
+        longest_s = max((wish.until_s - now_s for wish in wishes), default=0.0)
+        others = [
+            wish
+            for wish in wishes
+            if wish not in held and wish.until_s - now_s >= LEAST_PART * longest_s
+        ]
+        return (held + others)[: self.most_rows]
+
+
+def _meet(released, first, last):
+    return released.first <= last and first <= released.last
+
+
+def _joined(rows):
+    """Return rows with neighbours of one fence and no handover as one.
+
+    An answer that is too long is no acknowledgement.
+    """
+    joined = []
+    for row in sorted(rows, key=lambda row: row.first):
+        last = joined[-1] if joined else None
+        alike = last and (last.fence, last.handover) == (row.fence, row.handover)
+        if alike and not row.handover and last.last + 1 == row.first:
+            joined[-1] = attrs.evolve(last, last=row.last)
+        else:
+            joined.append(row)
+    return tuple(joined)
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -91,13 +91,27 @@
     taken_until_s: float = float("-inf")
     maybe_until_s: float = float("-inf")
     lost_until_s: float = float("-inf")
+    listed_until_s: dict = attrs.Factory(dict)
     asked_s: float = 0.0
     asking: bool = False
     outdated: bool = False
+    given_away: list = attrs.Factory(list)
+    handover: str = ""
 
     @property
     def ends_s(self):
-        return max(self.maybe_until_s, self.lost_until_s)
+        return max(self.maybe_until_s, self.unheard_until_s)
+
+    @property
+    def unheard_until_s(self):
+        """Return until when a grant may be carried out of which nothing was heard."""
+        return max([self.lost_until_s, *self.listed_until_s.values()])
+
+    def gives_until_s(self, value):
+        """Return until when the server has a key by this grant."""
+        away = any(start <= value < end for start, end in self.given_away)
+        inside = self.start <= value < self.end
+        return self.taken_until_s if inside and not away else float("-inf")
 
     def ends_by_s(self, now_s):
         """Return until when it may last, also by an order that is on its way.
@@ -185,7 +199,7 @@
         return orders
 
     def _order(self, place, end, fence, until_s, now_s):
-        if fence <= self._stopped.get(place, -1) or fence <= self._used_fence:
+        if self.is_stopped(place, fence):
             return None
         hold = self._holds.get(place)
         if hold is None or hold.fence < fence:
@@ -214,15 +228,27 @@
             terms=self.terms,
         )
 
+    def is_stopped(self, place, fence):
+        """Return whether a place isn't granted under a fence any more."""
+        return fence <= self._stopped.get(place, -1) or fence <= self._used_fence
+
     def _begin(self, place, end, fence, now_s):
         """Begin a hold; the one before it may run on, over another range."""
         earlier = self._earlier.setdefault(place[0], [])
         earlier[:] = [hold for hold in earlier if hold.ends_s > now_s]
         if place in self._holds:
             earlier.append(self._holds[place])
-        hold = self._holds[place] = _Hold(start=place[1], end=end, fence=fence)
+        hold = self._holds[place] = self._make_hold(place[1], end, fence)
         return hold
 
+    @staticmethod
+    def _make_hold(start, end, fence):
+        return _Hold(start=start, end=end, fence=fence)
+
+    def _of(self, service):
+        current = [hold for place, hold in self._holds.items() if place[0] == service]
+        return current + self._earlier.get(service, [])
+
     def _overlapping(self, service, start, end):
         """Return every hold that a range has a part in.
 
@@ -230,9 +256,7 @@
         Asked by its own place alone it would seem free, and the next owner's
         server would be granted it beside this one.
         """
-        current = [h for place, h in self._holds.items() if place[0] == service]
-        holds = current + self._earlier.get(service, [])
-        return [hold for hold in holds if hold.overlaps(start, end)]
+        return [hold for hold in self._of(service) if hold.overlaps(start, end)]
 
     def answered(self, order, answer, now_s):
         """Take the answer to an order, or its loss."""
@@ -292,6 +316,8 @@
             return None
         if now_s >= self.unknown_until_s:
             fence = max(hold.fence for hold in holds)
+        for hold in holds:
+            hold.given_away.append((start, end))
         place = (service, start)
         self._stopped[place] = max(fence, self._stopped.get(place, -1))
         return fence
@@ -303,7 +329,7 @@
     def lost_until_s(self, service, start, end):
         """Return until when a grant whose answer was lost may still have effect."""
         holds = self._overlapping(service, start, end)
-        return max((hold.lost_until_s for hold in holds), default=float("-inf"))
+        return max((hold.unheard_until_s for hold in holds), default=float("-inf"))
 
     def held_until_s(self, service, start, end):
         """Return until when a range may be held if it isn't released."""
--- a/comfreywharf/ownership/table.py
+++ b/comfreywharf/ownership/table.py
@@ -197,6 +197,14 @@
                         until_s = min(lease.until_s() for lease in basis.leases)
                         yield service, piece, basis.fence, until_s
 
+    def pending(self, state, now_s):
+        """Yield ``(service, slice)`` for what is owned and can't be served just yet."""
+        if not self.holder.owns(now_s):
+            return
+        for service, piece in state.owned_by(self._node_id):
+            if not isinstance(self._basis(state, service, piece, now_s), _Basis):
+                yield service, piece
+
     def slice_changed(self, state, service, before, after, now_s):
         """Take note that a record changed a slice that concerns this node."""
         place = (service, after.start)
--- a/comfreywharf/platform/announcements.py
+++ b/comfreywharf/platform/announcements.py
@@ -8,7 +8,9 @@
 
 from comfreywharf.daemon.backend import Announcement
 from comfreywharf.membership.lives import Life
+from comfreywharf.ownership.hold_lists import HeldRange, ReleasedRange
 from comfreywharf.platform.durations import duration_s
+from comfreywharf.records import NUMBER_KEYS
 
 __all__ = ["DamagedReport", "Heartbeat", "read_deregistration", "read_heartbeat"]
 
@@ -20,10 +22,16 @@
 """A heartbeat each millisecond for eleven days. A number beyond it is damaged: taken
 for true, it would make each later heartbeat of that server a late one, for good."""
 
+MOST_RANGES = 4096
+"""How many ranges a server may hold or have released, by its word."""
+
+HIGHEST_FENCE = 2**63 - 1
+
 LATEST_START_MS = 10**14
 """The year 5138, as a Unix time in milliseconds."""
 
 _INSTANCE = re.compile(r"[!-.0-~]{1,128}")
+_HANDOVER = re.compile(r"[!-~]{0,128}")
 _PORT = re.compile(r"[0-9]{1,5}")
 _STATES = ("ready", "draining")
 
@@ -41,11 +49,16 @@
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
-    """One heartbeat. ``sequence`` counts those of one life of a server."""
+    """One heartbeat. ``sequence`` counts those of one life of a server.
+
+    ``held`` is ``None`` where it says nothing of keys.
+    """
 
     announcement: Announcement
     sequence: int
     leaving: bool
+    held: tuple[HeldRange, ...] | None = None
+    released: tuple[ReleasedRange, ...] = ()
 
 
 def read_heartbeat(instance, body):
@@ -81,9 +94,47 @@
         announcement=announcement,
         sequence=_whole(fields, "sequence", MOST_HEARTBEATS),
         leaving=state == "draining",
+        held=_held(fields) if "holds" in fields else None,
+        released=_released(fields) if "released" in fields else (),
     )
 
 
+def _held(fields):
+    """Return what is held; rows overlap while work on an earlier grant goes on."""
+    held = []
+    for place, (first, last, fence) in _rows(fields, "holds"):
+        if type(fence) is not int or not 0 <= fence <= HIGHEST_FENCE:
+            raise DamagedReport(place, fence, f"a fence from 0 to {HIGHEST_FENCE}")
+        held.append(HeldRange(first=first, last=last, fence=fence))
+    return tuple(held)
+
+
+def _released(fields):
+    released = []
+    for place, (first, last, handover) in _rows(fields, "released"):
+        if not isinstance(handover, str) or not _HANDOVER.fullmatch(handover):
+            raise DamagedReport(place, handover, "a handover of visible characters")
+        released.append(ReleasedRange(first=first, last=last, handover=handover))
+    return tuple(released)
+
+
+def _rows(fields, name):
+    """Yield ``(place, row)`` of a list of ranges; raises `DamagedReport`."""
+    rows = fields[name]
+    if not isinstance(rows, list) or len(rows) > MOST_RANGES:
+        raise DamagedReport(name, rows, f"a list of {MOST_RANGES} rows at most")
+    for number, row in enumerate(rows):
+        place = f"{name}[{number}]"
+        if not isinstance(row, list) or len(row) != 3:
+            raise DamagedReport(place, row, "three values")
+        for value in row[:2]:
+            if type(value) is not int or not 0 <= value < NUMBER_KEYS:
+                raise DamagedReport(place, row, f"keys from 0 to {NUMBER_KEYS - 1}")
+        if row[0] > row[1]:
+            raise DamagedReport(place, row, "a first key that isn't above the last")
+        yield place, row
+
+
 def read_deregistration(instance, body):
     """Return the `Life` that leaves; raises `DamagedReport`. It may have no body."""
     return _life(instance, _fields(body) if body else {})
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -6,7 +6,8 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.caller_requests import CallerRequest, target_left_ms
-from comfreywharf.daemon.front import Answer, FrontLimits
+from comfreywharf.daemon.caller_stream import FrontLimits
+from comfreywharf.daemon.front import Answer
 from comfreywharf.daemon.ingress import BodySource
 from comfreywharf.records import NUMBER_KEYS, number_key
 from comfreywharf.routing import Reason
@@ -62,6 +63,16 @@
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         )
 
+    def waits_for_others(self, head):
+        """Return whether a request isn't begun while others of its row are served.
+
+        One that mustn't run twice is begun only where nothing before it can break its
+        connection off.
+        """
+        path = head.target.partition("?")[0]
+        route = self._node.routes.table.find(_host_name(head), path)
+        return route is None or not route.repeatable
+
     def __call__(self, head, connection):
         """Return the `Answer` to one request."""
         now_s = boottime_s()
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -6,7 +6,14 @@
 
 from comfreywharf.daemon.logclient import LogError, LogTruncated
 from comfreywharf.platform.durations import duration_s
-from comfreywharf.routes import CallerLimits, Part, Route, RoutedService, RouteTable
+from comfreywharf.routes import (
+    CallerLimits,
+    GrantWay,
+    Part,
+    Route,
+    RoutedService,
+    RouteTable,
+)
 
 __all__ = ["ConfigurationReader", "route_table"]
 
@@ -18,6 +25,8 @@
 store had been silent to went on by old routes for 2.2 s beyond the change, although
 it was answered again."""
 
+GRANT_WAYS = {"direct": GrantWay.ORDERS, "heartbeat": GrantWay.HEARTBEATS}
+
 PAUSE_S = 0.3
 RELAYED_PAUSE_S = 0.1
 """How often a node that hears from another one looks whether it still does."""
@@ -72,9 +81,19 @@
         divided_by_number=bool(fields.get("sharded")),
         connections=int(fields["maxConnections"]),
         health_path=fields.get("healthPath", "/"),
+        grant_way=_grant_way(name, fields.get("grants", "direct")),
     )
 
 
+def _grant_way(service, word):
+    try:
+        return GRANT_WAYS[word]
+    except KeyError as error:
+        expected = " or ".join(GRANT_WAYS)
+        place = f"{TOPIC}/{KEY}: services.{service}.grants"
+        raise ValueError(f"{place}: found {word!r}; expected {expected}") from error
+
+
 class ConfigurationReader:
     """Follow the operator's record in the store; see `Routes`.
 
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -5,17 +5,25 @@
 import orjson
 from gevent import pywsgi
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.http import NodelayHandler
+from comfreywharf.ownership.hold_lists import HoldReport
 from comfreywharf.platform.announcements import (
     DamagedReport,
     read_deregistration,
     read_heartbeat,
 )
+from comfreywharf.platform.durations import duration_text
 
-__all__ = ["HeartbeatPort"]
+__all__ = ["MOST_ROWS", "HeartbeatPort"]
 
 _CALL = re.compile(r"/-/instances/([^/]{1,128})/(heartbeat|deregister)")
-MAX_BODY_BYTES = 16 * 1024
+MAX_BODY_BYTES = 256 * 1024
+"""Room for some 4,000 ranges that a server holds or released."""
+
+MOST_ROWS = 90
+"""How many ranges fit in an answer with their handovers: it is no acknowledgement if
+it has more than 4 KiB."""
 
 
 class HeartbeatPort:
@@ -49,8 +57,11 @@
         if found is None or environ["REQUEST_METHOD"] != "POST":
             return _respond(start_response, "404 Not Found", {})
         instance, call = found.groups()
+        arrived_s = boottime_s()
+        connection = environ.get("comfreywharf.socket")
         try:
-            self._take(instance, call, environ["wsgi.input"].read(MAX_BODY_BYTES))
+            body = environ["wsgi.input"].read(MAX_BODY_BYTES)
+            fields = self._take(instance, call, body, connection, arrived_s)
         except DamagedReport as error:
             self._node.report(
                 "damaged_report", name=instance, field=error.field, why=str(error)
@@ -59,21 +70,40 @@
         except OSError as error:
             # The writer ended in the middle of its report.
             return _respond(start_response, "400 Bad Request", {"error": str(error)})
-        return _respond(start_response, "200 OK", {})
+        return _respond(start_response, "200 OK", fields)
 
-    def _take(self, instance, call, body):
+    def _take(self, instance, call, body, connection, arrived_s):
+        """Give a report to the node; return the fields of the answer."""
         if call == "deregister":
             self._life.leaves(read_deregistration(instance, body))
-            return
+            return {}
         said = read_heartbeat(instance, body)
-        self._check_service(said.announcement.service)
-        self._life.heard(said.announcement, said.sequence, said.leaving)
+        service = said.announcement.service
+        self._check_service(service)
+        living = self._life.heard(said.announcement, said.sequence, said.leaving)
+        if not living or said.held is None:
+            return {}
+        report = HoldReport(
+            service=service,
+            connection=connection,
+            arrived_s=arrived_s,
+            held=said.held,
+            released=said.released,
+        )
+        return _list_fields(self._node.grants.answer(report))
 
     def _check_service(self, name):
         if name != self._service and self._node.routes.table.service(name) is None:
             raise DamagedReport("service", name, "a service that is configured")
 
 
+def _list_fields(hold_list):
+    if hold_list is None:
+        return {}
+    rows = [[row.first, row.last, row.fence, row.handover] for row in hold_list.rows]
+    return {"holds": rows, "hold_time": duration_text(hold_list.hold_s)}
+
+
 def _respond(start_response, status, fields):
     body = orjson.dumps(fields)
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -5,11 +5,14 @@
 from gevent import pywsgi
 from geventhttpclient.response import HTTPParseError
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.backend_life import BackendLife
 from comfreywharf.daemon.decisions import StdoutLines
 from comfreywharf.daemon.declaring import Declaring
 from comfreywharf.daemon.follower import ReadPace
 from comfreywharf.daemon.front import CallerServer
+from comfreywharf.daemon.grants_by_service import GrantsByService
+from comfreywharf.daemon.heartbeat_grants import HeartbeatGrants
 from comfreywharf.daemon.http import NodelayHandler, SingleSendClient
 from comfreywharf.daemon.operators import OperatorPort
 from comfreywharf.daemon.ports import Ports
@@ -18,12 +21,14 @@
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.fairqueue import RankedQueue
 from comfreywharf.ownership.holds import HoldTerms
+from comfreywharf.ownership.listed_holds import ListedHoldBook
 from comfreywharf.placement import PlacementPace
 from comfreywharf.platform.backends import PlatformBackend, PlatformDialect
 from comfreywharf.platform.callers import CallerDesk
 from comfreywharf.platform.configuration import ConfigurationReader
-from comfreywharf.platform.heartbeats import HeartbeatPort
+from comfreywharf.platform.heartbeats import MOST_ROWS, HeartbeatPort
 from comfreywharf.platform.store import Store, StoreLog
+from comfreywharf.routes import GrantWay
 from comfreywharf.routing import RouteLimits
 
 __all__ = ["PlatformPorts"]
@@ -123,12 +128,20 @@
         return service.health_path if service else "/"
 
     def make_grants(self, node):
-        """Return the grants, one for each slice."""
+        """Return the grants, in the way that each service's configuration names."""
+        settings = self._settings
         terms = HoldTerms(
-            lease_s=self._settings.node.lease_ms / 1000,
-            longest_s=self._settings.longest_hold_s,
+            lease_s=settings.node.lease_ms / 1000,
+            longest_s=settings.longest_hold_s,
+            slow_clock=settings.slow_clock,
         )
-        return RangeGrants(node, terms, LONGEST_WORK_S)
+        book = ListedHoldBook.of_new_process(terms, boottime_s())
+        interval_s = settings.heartbeat_interval_s
+        ways = {
+            GrantWay.ORDERS: RangeGrants(node, book, LONGEST_WORK_S),
+            GrantWay.HEARTBEATS: HeartbeatGrants(node, book, interval_s, MOST_ROWS),
+        }
+        return GrantsByService(node, ways)
 
     def make_servers(self, node):
         """Return the servers; they aren't started yet."""
@@ -136,7 +149,11 @@
         self._routes = node.routes
         desk = CallerDesk(node, settings.service)
         self.front = CallerServer(
-            settings.callers.host, settings.callers.port, desk, desk.limits
+            settings.callers.host,
+            settings.callers.port,
+            desk,
+            desk.limits,
+            desk.waits_for_others,
         )
         self.life = BackendLife(node, settings.drain_s)
         operators = OperatorPort(node)
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -1,11 +1,14 @@
 """The settings file that the platform writes for each process."""
 
+import math
 from pathlib import Path
 
 import attrs
 from returns.result import Failure, Result, Success
 
+from comfreywharf.platform.configuration import GRANT_WAYS
 from comfreywharf.platform.durations import duration_s
+from comfreywharf.routes import GrantWay
 from comfreywharf.settings.model import Address, NodeSettings
 
 __all__ = ["BOOT_VARIABLE", "PlatformSettings", "read_boot_file"]
@@ -17,6 +20,15 @@
 """Short enough that keys of a lost node are served again within 2 s, and long
 enough that a node which the platform turns slow keeps it."""
 
+HEARTBEATS_PER_HOLD = 2
+"""Where keys are granted in answers to heartbeats, a hold outlives one that is lost."""
+
+HOLD_MARGIN_S = 0.15
+"""By which a heartbeat may come later than its interval, with its answer."""
+
+SLOW_CLOCK = 0.02
+"""By which part a backend server's clock may run slow."""
+
 DRIFT_PER_MILLE = 25
 """Backend servers' clocks may run 2% slow; the rest is for the machines' own."""
 
@@ -43,6 +55,7 @@
     retry_fraction: float
     store_writes_per_s: float
     store_reads_per_s: float
+    slow_clock: float = SLOW_CLOCK
 
 
 class _Fields:
@@ -97,6 +110,23 @@
     return number
 
 
+def _by_heartbeats(text):
+    if text not in GRANT_WAYS:
+        raise ValueError(f"found {text!r}; expected {' or '.join(GRANT_WAYS)}")
+    return GRANT_WAYS[text] is GrantWay.HEARTBEATS
+
+
+def _heartbeat_lease_ms(interval_s):
+    """Return the lease on which a hold can rest that outlives a lost heartbeat.
+
+    >>> _heartbeat_lease_ms(0.87)
+    1978
+    """
+    hold_s = HEARTBEATS_PER_HOLD * interval_s + HOLD_MARGIN_S
+    lease_s = hold_s * (1 + SLOW_CLOCK) / (1 - DRIFT_PER_MILLE / 1000)
+    return math.ceil(lease_s * 1000)
+
+
 def read_boot_file(path) -> Result[PlatformSettings, list]:
     """Return the settings, or all findings with their places."""
     try:
@@ -131,8 +161,12 @@
         "store_writes_per_s": read("platform.platform.writesPerS", _positive, 400.0),
         "store_reads_per_s": read("platform.platform.readsPerS", _positive, 2000.0),
     }
+    by_heartbeats = read("grants", _by_heartbeats, False)
     if fields.findings:
         return None
+    lease_ms = LEASE_MS
+    if by_heartbeats:
+        lease_ms = max(lease_ms, _heartbeat_lease_ms(times["heartbeat_interval_s"]))
     node = NodeSettings(
         node_id=node_id,
         host=host,
@@ -143,7 +177,7 @@
         failure_domain=zone,
         region=region,
         log=store,
-        lease_ms=LEASE_MS,
+        lease_ms=lease_ms,
         drift_per_mille=DRIFT_PER_MILLE,
     )
     return PlatformSettings(
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -27,7 +27,7 @@
 PORTS_OF_A_WORKER = 2_000
 
 BOOT = """\
-grants=direct
+grants={grants}
 self.node={name}
 self.ip=127.0.0.1
 self.zone={zone}
@@ -52,7 +52,14 @@
 """
 
 
-def boot_text(name="n1", zone="z1", service="booking", ports=None, store_port=9):
+def boot_text(
+    name="n1",
+    zone="z1",
+    service="booking",
+    ports=None,
+    store_port=9,
+    grants="direct",
+):
     """Return a settings file as the platform writes it."""
     ports = ports or (1001, 1002, 1003, 1004, 1005)
     return BOOT.format(
@@ -62,6 +69,7 @@
         ports=ports,
         internal_last=ports[4] + 1,
         store_port=store_port,
+        grants=grants,
     )
 
 
@@ -162,7 +170,13 @@
 class Deployment:
     """Nodes on the platform's stand-ins, each with its backend server."""
 
-    def __init__(self, path, services=("booking", "booking", "booking", "stock")):
+    def __init__(
+        self,
+        path,
+        services=("booking", "booking", "booking", "stock"),
+        grants="direct",
+    ):
+        self.grants = grants
         self.store = PlatformStore()
         self.ledger = []
         self.nodes = {}
@@ -174,24 +188,34 @@
 
     def __enter__(self):
         self.store.start()
-        self.store.put("keyed.op", "config", configuration())
+        self.configure(1)
         for number, service in enumerate(self._services):
             self.start(f"n{number}", f"z{number % 3}", service)
         wait_for(self.settled)
         return self
 
+    def configure(self, version):
+        """Put a configuration in force that names the way of granting."""
+        document = configuration(version)
+        document["services"]["booking"]["grants"] = self.grants
+        self.store.put("keyed.op", "config", document)
+
     def start(self, name, zone, service):
         """Start a node and its backend server."""
         ports = self.ports.get(name) or free_ports()
         self.ports[name] = ports
         path = self._path / f"{name}.conf"
-        path.write_text(boot_text(name, zone, service, ports, self.store.port))
+        text = boot_text(name, zone, service, ports, self.store.port, self.grants)
+        path.write_text(text)
         settings = read_boot_file(path).unwrap()
         node = Node(settings.node, PlatformPorts(settings))
         node.start()
         self.nodes[name] = node
         if name not in self.servers:
-            server = PlatformServer(f"i-{name}", service, self.ledger)
+            by_lists = self.grants == "heartbeat" and service == "booking"
+            server = PlatformServer(
+                f"i-{name}", service, self.ledger, by_lists=by_lists
+            )
             server.start(ports[3])
             self.servers[name] = server
 
--- /dev/null
+++ b/comfreywharf/platform/tests/test_lists.py
@@ -0,0 +1,124 @@
+"""Grants in answers to heartbeats, on the platform's stand-ins, over real sockets."""
+
+import contextlib
+
+import gevent
+import pytest
+
+from comfreywharf.clock import boottime_s
+from comfreywharf.platform.tests.builders import Deployment, wait_for
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    """Yield four nodes with their servers, all keys held by lists."""
+    with Deployment(tmp_path, grants="heartbeat") as started:
+        yield started
+
+
+def served(deployment, key=7, times=50):
+    """Return whether a key is served within some seconds."""
+    with contextlib.suppress(TimeoutError):
+        wait_for(lambda: deployment.ask("n3", key=key).status == 200, 8)
+        return True
+    return False
+
+
+def one_holder(deployment, duration_s):
+    """Watch for a while that no key has two holders."""
+    end_s = boottime_s() + duration_s
+    while boottime_s() < end_s:
+        for key in range(0, 65536, 4096):
+            assert len(deployment.holders(key)) <= 1
+        gevent.sleep(0.01)
+
+
+def test_keys_are_held_and_served(deployment):
+    """Symptom: nothing that is divided by key is served.
+    Sequence: servers learn of their keys in answers to heartbeats only.
+    Cause: the node sent orders, and answered heartbeats with nothing."""
+    assert deployment.ask("n3").status == 200
+    server = deployment.servers[deployment.holder(7)]
+    assert server.taken_lists and not server.misdirected
+
+
+def test_a_lost_answer_leaves_a_living_server_its_keys(deployment):
+    """Symptom: keys of a living server are dark for a heartbeat.
+    Sequence: the answer to one heartbeat is lost.
+    Cause: a hold that is shorter than two intervals."""
+    server = deployment.servers[deployment.holder(7)]
+    server.lose_answers = 1
+    end_s = boottime_s() + 0.8
+    while boottime_s() < end_s:
+        assert server.holds(7)
+        gevent.sleep(0.01)
+    assert not server.lose_answers
+
+
+def test_a_crashed_servers_keys_go_to_the_next_one(deployment):
+    """Symptom: two servers hold a key, or none for good.
+    Sequence: a server crashes and doesn't come back."""
+    name = deployment.holder(7)
+    deployment.servers[name].mute = True
+    deployment.servers[name].crash()
+    one_holder(deployment, 1.0)
+    assert served(deployment)
+    assert deployment.holder(7) != name
+
+
+def test_a_server_that_begins_again_takes_its_keys_under_higher_fences(deployment):
+    """Symptom: a life takes a key under a fence that the one before it had.
+    Sequence: a server ends and begins again under its id.
+    Cause: the lists went on under the same lease."""
+    name = deployment.holder(7)
+    server = deployment.servers[name]
+    before = max(taken.fence for taken in server.taken)
+    server.begin_anew(server.instance)
+    assert served(deployment)
+    wait_for(deployment.settled)
+    assert all(taken.fence > before for taken in server.taken_by_this_life())
+
+
+def test_a_node_that_begins_again_goes_on_beside_its_living_server(deployment):
+    """Symptom: two servers hold a key, or a server refuses its ranges for good.
+    Sequence: a node's process is killed and starts again while its server lives.
+    Cause: the new process knows nothing of what the one before it granted."""
+    name = deployment.holder(7)
+    deployment.nodes.pop(name).kill()
+    deployment.start(name, "z0", "booking")
+    one_holder(deployment, 1.5)
+    assert served(deployment)
+    wait_for(deployment.settled)
+
+
+def test_a_leaving_servers_keys_move_with_their_handover(deployment):
+    """Symptom: keys of a leaving server are slow at the next one, or dark.
+    Sequence: a server says that it leaves, with a request at work."""
+    name = deployment.holder(7)
+    deployment.servers[name].state = "draining"
+    wait_for(lambda: deployment.holder(7) not in (None, name), 8)
+    one_holder(deployment, 0.5)
+    assert not deployment.servers[name].holds(7)
+    assert served(deployment)
+
+
+def test_an_outage_of_the_store_leaves_the_keys_held(deployment):
+    """Symptom: keys are dark while the store is away.
+    Sequence: the store is away for some seconds; holds rest on witnesses only."""
+    deployment.store.stop()
+    end_s = boottime_s() + 2.0
+    while boottime_s() < end_s:
+        assert deployment.settled()
+        gevent.sleep(0.02)
+
+
+def test_a_configuration_may_change_a_services_way(deployment):
+    """Symptom: after a change of the way nobody holds the keys, or two do.
+    Sequence: a service's servers take orders from one version on."""
+    deployment.grants = "direct"
+    for server in deployment.servers.values():
+        server.by_lists = False
+    deployment.configure(2)
+    one_holder(deployment, 1.0)
+    wait_for(deployment.settled)
+    assert deployment.ask("n3").status == 200
--- a/comfreywharf/records/__init__.py
+++ b/comfreywharf/records/__init__.py
@@ -40,6 +40,7 @@
     key_hash,
     number_key,
     numbers_in,
+    range_of_numbers,
 )
 from comfreywharf.records.state import ClusterState, Member
 from comfreywharf.records.validation import ServiceFinding, check_patch, check_service
@@ -85,4 +86,5 @@
     "key_hash",
     "number_key",
     "numbers_in",
+    "range_of_numbers",
 ]
--- a/comfreywharf/records/slices.py
+++ b/comfreywharf/records/slices.py
@@ -13,6 +13,7 @@
     "key_hash",
     "number_key",
     "numbers_in",
+    "range_of_numbers",
 ]
 
 KEY_SPACE = 1 << 63
@@ -47,6 +48,15 @@
     return (first, last) if first <= last else None
 
 
+def range_of_numbers(first, last):
+    """Return the hashes of the numbers from first to last: start, and end behind them.
+
+    >>> numbers_in(*range_of_numbers(7, 9))
+    (7, 9)
+    """
+    return first << _NUMBER_SHIFT, (last + 1) << _NUMBER_SHIFT
+
+
 def key_hash(key):
     """Return where a key (bytes) lies in the hash space.
 
--- a/comfreywharf/routes/__init__.py
+++ b/comfreywharf/routes/__init__.py
@@ -8,6 +8,7 @@
 from comfreywharf.routes.codec import RouteTableError, decode_table, encode_table
 from comfreywharf.routes.model import (
     CallerLimits,
+    GrantWay,
     Part,
     Route,
     RoutedService,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "CallerLimits",
+    "GrantWay",
     "Part",
     "Route",
     "RouteTable",
--- a/comfreywharf/routes/codec.py
+++ b/comfreywharf/routes/codec.py
@@ -34,7 +34,7 @@
             services=tuple(RoutedService(**entry) for entry in fields["services"]),
             limits=CallerLimits(**fields["limits"]),
         )
-    except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise RouteTableError(f"unreadable routes: {error}") from error
 
 
--- a/comfreywharf/routes/model.py
+++ b/comfreywharf/routes/model.py
@@ -1,8 +1,21 @@
 """The operator's routes as typed values."""
 
+from enum import Enum
+
 import attrs
 
-__all__ = ["CallerLimits", "Part", "Route", "RouteTable", "RoutedService"]
+__all__ = ["CallerLimits", "GrantWay", "Part", "Route", "RouteTable", "RoutedService"]
+
+
+class GrantWay(Enum):
+    """How a service's backend servers are told which keys they hold.
+
+    ``ORDERS`` are sent to the server, one for each range; ``HEARTBEATS`` are answered
+    with a list of all ranges.
+    """
+
+    ORDERS = "orders"
+    HEARTBEATS = "heartbeats"
 
 
 @attrs.frozen(kw_only=True)
@@ -40,14 +53,15 @@
     """A service that routes lead to.
 
     One that is divided by number has a key from 0 to 65,535 in each request, and
-    its backend servers hold their keys by grants. ``connections`` is what one
-    backend server accepts from all together.
+    its backend servers hold their keys by grants, in its ``grant_way``.
+    ``connections`` is what one backend server accepts from all together.
     """
 
     name: str
     divided_by_number: bool = False
     connections: int = 100
     health_path: str = "/"
+    grant_way: GrantWay = attrs.field(default=GrantWay.ORDERS, converter=GrantWay)
 
 
 @attrs.frozen(kw_only=True)
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -43,6 +43,7 @@
     last: int
     fence: int
     until_s: float
+    working: bool = False
 
 
 class PlatformServer:
@@ -51,14 +52,21 @@
     ``work_s`` is how long a request takes. With ``lose_grants`` the next so many
     grants are carried out ``late_s`` later and never answered. ``taken`` lists the
     grants of all its lives, and ``misdirected`` counts the requests for keys that it
-    didn't hold. While it is ``mute``, it sends no heartbeats.
+    didn't hold. While it is ``mute``, it sends no heartbeats. With ``by_lists`` it
+    takes no orders, but what the answers to its heartbeats list; of these the next
+    ``lose_answers`` never reach it. ``taken_lists`` counts those that did.
     """
 
-    def __init__(self, name, service, ledger, work_s=0.0):
+    def __init__(self, name, service, ledger, work_s=0.0, by_lists=False):
         self.instance = name
         self.service = service
         self.ledger = ledger
         self.work_s = work_s
+        self.by_lists = by_lists
+        self.lose_answers = 0
+        self.taken_lists = 0
+        self._released = []
+        self._line = None
         self.lose_grants = 0
         self.late_s = 0.2
         self.answer_id = None
@@ -100,6 +108,8 @@
         """End at once: connections end, nothing listens, and nothing is kept."""
         self._server.stop(timeout=0)
         self.held = []
+        self._released = []
+        self._leave_line()
         self._highest = [-1] * 65536
         self._sequence = 0
 
@@ -167,20 +177,81 @@
             "coldRemaining": "0ms",
             "sequence": self._sequence,
             "born": self.born_ms,
+            **(self._holds_word() if self.by_lists else {}),
+        }
+
+    def _holds_word(self):
+        now_s = boottime_s()
+        held = [h for h in self.held if h.working or now_s < h.until_s]
+        return {
+            "holds": [[h.first, h.last, h.fence] for h in held],
+            "released": list(self._released),
         }
 
     def _beat(self, port):
         while True:
             self._sequence += 1
             fields = self.word()
-            with contextlib.suppress(OSError):
+            pause_s = HEARTBEAT_S
+            with contextlib.suppress(OSError, ValueError):
                 if self._server.started and not self.mute:
-                    post(port, f"/-/instances/{self.instance}/heartbeat", fields)
-            gevent.sleep(HEARTBEAT_S)
+                    pause_s = self._send_heartbeat(port, fields)
+            gevent.sleep(pause_s)
+
+    def _send_heartbeat(self, port, fields):
+        """Send a heartbeat and take its answer; return when to send the next one."""
+        sent_s, life = boottime_s(), self.life
+        path = f"/-/instances/{self.instance}/heartbeat"
+        if not self.by_lists:
+            post(port, path, fields)
+            return HEARTBEAT_S
+        try:
+            self._line = self._line or _open(port)
+            answer = _exchange(self._line, path, fields)
+        except (OSError, ValueError):
+            self._leave_line()
+            raise
+        if life != self.life:
+            return HEARTBEAT_S
+        if self.lose_answers:
+            self.lose_answers -= 1
+            self._leave_line()
+            return HEARTBEAT_S
+        self._released = []
+        if "holds" in answer:
+            self._take_list(answer, sent_s)
+        return HEARTBEAT_S / 4 if self._released else HEARTBEAT_S
+
+    def _leave_line(self):
+        line, self._line = self._line, None
+        if line is not None:
+            line.close()
+
+    def _take_list(self, answer, sent_s):
+        """Hold what is listed, for a time that counts from when it was asked for."""
+        self.taken_lists += 1
+        until_s = sent_s + duration_s(answer["hold_time"])
+        listed = []
+        for first, last, fence, _ in answer["holds"]:
+            if max(self._highest[first : last + 1]) > fence:
+                self.refused_grants += 1
+                continue
+            self._highest[first : last + 1] = [fence] * (last - first + 1)
+            listed.append(_Held(first, last, fence, until_s))
+            self.taken.append(Taken(self.life, first, last, fence))
+        keys = {key for held in listed for key in range(held.first, held.last + 1)}
+        for held in self.held:
+            gone = [k for k in range(held.first, held.last + 1) if k not in keys]
+            if gone and boottime_s() < held.until_s:
+                token = f"{self.instance}-{gone[0]}"
+                self._released.append([gone[0], gone[-1], token])
+        self.held = listed
 
     def _answer(self, environ, start_response):
         path = environ["PATH_INFO"]
         body = environ["wsgi.input"].read()
+        if self.by_lists and path in ("/-/grant", "/-/release"):
+            return _respond(start_response, 404)
         if path == "/-/grant":
             return self._grant(orjson.loads(body), start_response)
         if path == "/-/release":
@@ -268,3 +339,25 @@
     with contextlib.closing(socket.create_connection(("127.0.0.1", port), 1)) as sock:
         sock.sendall(head.encode() + body)
         return int(sock.recv(4096).split()[1])
+
+
+def _open(port):
+    return socket.create_connection(("127.0.0.1", port), 1).makefile("rwb")
+
+
+def _exchange(line, path, fields):
+    """Post JSON on a kept connection; return the fields of the answer."""
+    body = orjson.dumps(fields)
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    line.write(head.encode() + body)
+    line.flush()
+    status = line.readline().split()
+    length = 0
+    while header := line.readline().strip():
+        name, _, value = header.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    answer = line.read(length)
+    if not status or status[1] != b"200":
+        raise OSError(f"heartbeat answered {status}")
+    return orjson.loads(answer)
