Play what may be lost, late or begin again where grants go by lists

A world of one node, its server's lives and a node that takes over, driven by the very decisions on lists: 400 sequences of up to 30 steps, derandomized, no breach. Three mechanisms switched off are each caught by the same plays: the hold counted from the answer, a list taken for received on any connection, fences used again by the next life. Eleven tests of single lists, each with its symptom.

--- a/comfreywharf/ownership/hold_lists.py
+++ b/comfreywharf/ownership/hold_lists.py
@@ -141,13 +141,18 @@
         known = [*self._handovers, *report.released]
         self._handovers = list(dict.fromkeys(known))[-MOST_HANDOVERS:]
         sent = self._sent
-        if sent is None or sent.connection != report.connection:
+        if not self._same_line(sent, report):
             return False
         self.book.settle(report.service, report.connection, reported, now_s)
         return sent.timely and not all(
             self._is_taken(wish, report, now_s) for wish in sent.wishes
         )
 
+    @staticmethod
+    def _same_line(sent, report):
+        """Return whether a report shows that the last list came."""
+        return sent is not None and sent.connection == report.connection
+
     def _is_taken(self, wish, report, now_s):
         if self.book.is_stopped((report.service, wish.start), wish.fence):
             return True
--- /dev/null
+++ b/comfreywharf/ownership/tests/list_world.py
@@ -0,0 +1,248 @@
+"""A small world: a node, its server told by lists, and a node that takes over.
+
+The node decides with the very `HoldLists` and `ListedHoldBook`. What carries heartbeats
+and answers, the server's lives and its slow clock, the lease and the other node are
+modelled here. All times are of one clock, the server's holds end later by its slowness.
+"""
+
+import attrs
+
+from comfreywharf.ownership.hold_lists import (
+    HeldRange,
+    HoldLists,
+    HoldReport,
+    ReleasedRange,
+    Serving,
+)
+from comfreywharf.ownership.holds import HoldTerms
+from comfreywharf.ownership.listed_holds import ListedHoldBook
+from comfreywharf.records import Slice, range_of_numbers
+
+__all__ = ["TERMS", "ListWorld"]
+
+TERMS = HoldTerms(lease_s=2.0, longest_s=10.0)
+SLOWNESS = 1.02
+SERVICE = "booking"
+PIECES = ((0, 99), (100, 199))
+LATEST_ANSWER_S = 6.0
+
+
+@attrs.define
+class Answer:
+    """A list on its way, and the heartbeat that asked for it."""
+
+    rows: tuple
+    hold_s: float
+    sent_s: float
+    life: int
+    connection: int
+    keep: tuple = ()
+
+
+@attrs.define
+class Server:
+    """A server's present life: what it holds until when, and the fences it has seen."""
+
+    life: int = 1
+    connection: int = 1
+    held: dict = attrs.Factory(dict)
+    seen: dict = attrs.Factory(dict)
+    released: list = attrs.Factory(list)
+
+    def holds(self, piece, now_s):
+        """Return the fence under which a piece is held, or ``None``."""
+        fence, until_s = self.held.get(piece, (None, float("-inf")))
+        return fence if now_s < until_s else None
+
+    def take(self, answer, now_s):
+        """Carry a list out."""
+        if answer.life != self.life:
+            return
+        listed = {(row.first, row.last): row for row in answer.rows}
+        until_s = answer.sent_s + answer.hold_s * SLOWNESS
+        for piece in PIECES:
+            row = listed.get(piece)
+            if row is None:
+                if self.holds(piece, now_s) is not None:
+                    self.released.append((piece, f"h{now_s}"))
+                self.held.pop(piece, None)
+            elif row.fence >= self.seen.get(piece, -1):
+                self.seen[piece] = row.fence
+                self.held[piece] = (row.fence, until_s)
+
+
+@attrs.define
+class ListWorld:
+    """What happens to one node and its server; each method is one event."""
+
+    now_s: float = 100.0
+    epoch: int = 1
+    mine: dict = attrs.Factory(lambda: {piece: 2 for piece in PIECES})
+    others: dict = attrs.Factory(dict)
+    lease_until_s: float = 102.0
+    server: Server = attrs.Factory(Server)
+    on_their_way: list = attrs.Factory(list)
+    releasing: dict = attrs.Factory(dict)
+    fences: dict = attrs.Factory(dict)
+    book: ListedHoldBook = None
+    lists: HoldLists = None
+
+    def __attrs_post_init__(self):
+        self.begin_node()
+
+    def begin_node(self):
+        """Start the node's process, or start it again beside its living server."""
+        self.book = ListedHoldBook.of_new_process(TERMS, self.now_s)
+        self.lists = HoldLists(self.book)
+        self.releasing.clear()
+        self.epoch += 1
+        self.mine = {piece: 2 * self.epoch for piece in self.mine}
+
+    def pass_time(self, duration_s):
+        """Let time pass; the lease goes on."""
+        self.now_s += duration_s
+
+    def renew(self):
+        """Have the witnesses renew the lease."""
+        self.lease_until_s = self.now_s + TERMS.lease_s
+
+    def serving(self):
+        """Return what the node may serve now."""
+        if self.now_s >= self.lease_until_s:
+            return None
+        served = tuple(
+            (SERVICE, self._slice(piece), fence, self.lease_until_s)
+            for piece, fence in self.mine.items()
+        )
+        if self.book.bars(fence for _, _, fence, _ in served):
+            self.begin_lease()
+            return None
+        return Serving(served=served, pending=(), lease_until_s=self.lease_until_s)
+
+    @staticmethod
+    def _slice(piece):
+        start, end = range_of_numbers(*piece)
+        return Slice(start=start, end=end, owner="a")
+
+    def begin_lease(self):
+        """Have the lease begin anew, with higher fences."""
+        self.epoch += 1
+        self.mine = {piece: 2 * self.epoch for piece in self.mine}
+
+    def heartbeat(self, travels_s, answered, kept):
+        """Send a heartbeat; its answer comes ``answered`` or is on its way.
+
+        ``kept`` is false where the server leaves the connection behind it.
+        """
+        report = HoldReport(
+            service=SERVICE,
+            connection=(self.server.life, self.server.connection),
+            arrived_s=self.now_s + travels_s,
+            held=tuple(
+                HeldRange(first=piece[0], last=piece[1], fence=fence)
+                for piece, (fence, until_s) in self.server.held.items()
+                if self.now_s < until_s
+            ),
+            released=tuple(
+                ReleasedRange(first=piece[0], last=piece[1], handover=word)
+                for piece, word in self.server.released
+            ),
+        )
+        sent_s = self.now_s
+        self.now_s += travels_s
+        if self.lists.hear(report, self.now_s):
+            self.begin_lease()
+        serving = self.serving()
+        decided = serving and self.lists.decide(report, serving, self.now_s)
+        if decided:
+            answer = Answer(
+                rows=decided.rows,
+                hold_s=decided.hold_s,
+                sent_s=sent_s,
+                life=self.server.life,
+                connection=self.server.connection,
+            )
+            if answered:
+                self._take(answer)
+            else:
+                self.on_their_way.append(answer)
+        if not kept or not answered:
+            self.server.connection += 1
+        self._end_releases()
+
+    def answer_comes(self):
+        """Let a late answer be carried out, or be dropped with its time."""
+        if self.on_their_way:
+            self._take(self.on_their_way.pop(0))
+
+    def _take(self, answer):
+        before = {piece: self.server.holds(piece, self.now_s) for piece in PIECES}
+        self.server.take(answer, self.now_s)
+        for piece in PIECES:
+            fence = self.server.holds(piece, self.now_s)
+            if fence is not None and fence != before[piece]:
+                self._note(piece, fence, ("server", self.server.life))
+
+    def _note(self, piece, fence, holder):
+        for other, known in self.fences.get(piece, {}).items():
+            assert other == holder or fence > known, (piece, fence, holder, self.fences)
+        known = self.fences.setdefault(piece, {})
+        known[holder] = max(fence, known.get(holder, -1))
+
+    def move_away(self, piece):
+        """Have the planner give a piece to the other node."""
+        if piece not in self.mine or piece in self.releasing:
+            return
+        del self.mine[piece]
+        self.epoch += 1
+        start, end = range_of_numbers(*piece)
+        fence = self.book.stop(SERVICE, start, end, 2 * self.epoch, self.now_s)
+        self.releasing[piece] = fence
+        self.lists.release()
+        self._end_releases()
+
+    def _end_releases(self):
+        """Let the other node's server hold what this node's server holds no more."""
+        for piece, fence in list(self.releasing.items()):
+            start, end = range_of_numbers(*piece)
+            place = (SERVICE, start, end)
+            held = fence is not None and not self.book.granted_above(*place, fence)
+            if held and self.now_s < self.book.held_until_s(*place):
+                continue
+            if self.now_s < self.book.lost_until_s(*place):
+                continue
+            del self.releasing[piece]
+            self._give(piece)
+
+    def _give(self, piece):
+        self.epoch += 1
+        self.others[piece] = 2 * self.epoch
+        self._note(piece, 2 * self.epoch, "other")
+
+    def move_back(self, piece):
+        """Have the other node's server release a piece to this node."""
+        if piece in self.others:
+            del self.others[piece]
+            self.epoch += 1
+            self.mine[piece] = 2 * self.epoch
+
+    def take_over(self):
+        """Have the other node claim all, once the lease is over."""
+        if self.now_s < self.lease_until_s:
+            return
+        self.releasing.clear()
+        for piece in list(self.mine):
+            del self.mine[piece]
+            self._give(piece)
+
+    def restart_server(self):
+        """Have the server end, and begin again under its id."""
+        self.server = Server(life=self.server.life + 1)
+        self.lists.forget()
+        self.book.process_changed()
+
+    def check(self):
+        """Raise `AssertionError` where a key has two holders."""
+        for piece in self.others:
+            fence = self.server.holds(piece, self.now_s)
+            assert fence is None, f"{piece} has two holders at {self.now_s}"
--- /dev/null
+++ b/comfreywharf/ownership/tests/test_hold_lists.py
@@ -0,0 +1,287 @@
+"""Lists in answers to heartbeats: each test is a way to get them wrong."""
+
+import attrs
+import pytest
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from comfreywharf.ownership import hold_lists, listed_holds
+from comfreywharf.ownership.hold_lists import HeldRange, HoldReport, HoldRow, Serving
+from comfreywharf.ownership.listed_holds import ListedHoldBook
+from comfreywharf.ownership.tests.list_world import PIECES, TERMS, ListWorld
+from comfreywharf.records import Slice, range_of_numbers
+
+NOW_S = 100.0
+UNTIL_S = NOW_S + 2.0
+
+
+def a_slice(first=0, last=99):
+    start, end = range_of_numbers(first, last)
+    return Slice(start=start, end=end, owner="a")
+
+
+def serving(*pieces, fence=10, until_s=UNTIL_S, pending=()):
+    served = tuple(("booking", piece, fence, until_s) for piece in pieces)
+    return Serving(served=served, pending=pending, lease_until_s=until_s)
+
+
+def report(connection="c", arrived_s=NOW_S, held=(), **fields):
+    held = tuple(HeldRange(first=f, last=t, fence=n) for f, t, n in held)
+    return HoldReport(
+        service="booking",
+        connection=connection,
+        arrived_s=arrived_s,
+        held=held,
+        **fields,
+    )
+
+
+def make_lists():
+    book = ListedHoldBook(TERMS)
+    return hold_lists.HoldLists(book)
+
+
+def rows(decided):
+    return [(row.first, row.last, row.fence) for row in decided.rows]
+
+
+def test_a_hold_counts_from_when_the_heartbeat_came():
+    """Symptom: a server holds keys after its node's lease was taken over.
+    Events: an answer waits 0.5 s; the server counts from when it sent its heartbeat.
+    Cause: the hold was as long as the lease from when the answer was sent."""
+    decided = make_lists().decide(report(), serving(a_slice()), NOW_S + 0.5)
+    assert NOW_S + decided.hold_s * 1.02 <= UNTIL_S + 1e-9
+
+
+def test_neighbours_with_one_fence_are_one_row():
+    """Symptom: an answer of more than 4 KiB counts as none.
+    Events: a server holds hundreds of slices."""
+    pieces = [a_slice(n, n + 9) for n in (0, 10, 30, 20)]
+    assert rows(make_lists().decide(report(), serving(*pieces), NOW_S)) == [(0, 39, 10)]
+
+
+def test_rows_that_dont_fit_are_the_ones_that_arent_held():
+    """Symptom: keys that were served a moment ago are dark, and others come.
+    Events: more ranges than an answer has room for.
+    Cause: what is left out is released, so the choice must not change."""
+    lists = make_lists()
+    lists.most_rows = 2
+    first = serving(a_slice(50, 59), a_slice(80, 89))
+    lists.decide(report(), first, NOW_S)
+    more = serving(a_slice(0, 9), a_slice(50, 59), a_slice(80, 89))
+    assert rows(lists.decide(report(), more, NOW_S)) == [(50, 59, 10), (80, 89, 10)]
+
+
+def test_a_range_that_the_server_refused_is_noticed():
+    """Symptom: a range is listed again and again, and nobody serves it.
+    Events: the server has seen a higher fence on one of its keys.
+    Cause: nothing but the next heartbeat's list says so."""
+    lists = make_lists()
+    lists.decide(report(), serving(a_slice(), a_slice(100, 199)), NOW_S)
+    after = report(arrived_s=NOW_S + 0.87, held=[(0, 99, 10)])
+    assert lists.hear(after, NOW_S + 0.87)
+
+
+@pytest.mark.parametrize("connection", ["c", "another"])
+def test_a_lost_answer_is_no_refusal(connection):
+    """Symptom: leases begin anew while heartbeats' answers are lost.
+    Events: the answer with a new range never comes; the next heartbeat, on another
+    connection, doesn't list the range."""
+    lists = make_lists()
+    lists.decide(report(), serving(a_slice()), NOW_S)
+    after = report(connection=connection, arrived_s=NOW_S + 0.87)
+    assert lists.hear(after, NOW_S + 0.87) is (connection == "c")
+
+
+def test_a_range_whose_fence_isnt_known_yet_stays_listed():
+    """Symptom: keys are dark for a moment, and cold, after their slice was divided.
+    Events: a slice is divided; its halves wait for a round of the witnesses; a
+    heartbeat comes in that moment.
+    Cause: what may not be served just now was left out, and so released."""
+    lists = make_lists()
+    lists.decide(report(), serving(a_slice()), NOW_S)
+    halves = (("booking", a_slice(0, 49)), ("booking", a_slice(50, 99)))
+    decided = lists.decide(report(), serving(pending=halves), NOW_S + 0.1)
+    assert rows(decided) == [(0, 99, 10)]
+
+
+def test_a_released_range_waits_for_an_answer_that_may_still_come():
+    """Symptom: two servers hold a key.
+    Events: an answer grants a range and is late; the server gives its connection up
+    and asks on another one; the range is moved away; the late answer is carried out.
+    Cause: the range wasn't reported as held, and counted as free."""
+    lists = make_lists()
+    lists.decide(report(), serving(a_slice()), NOW_S)
+    start, end = range_of_numbers(0, 99)
+    lists.book.stop("booking", start, end, 12, NOW_S + 0.9)
+    lists.hear(report("another", NOW_S + 0.9), NOW_S + 0.9)
+    assert lists.book.lost_until_s("booking", start, end) == pytest.approx(UNTIL_S)
+
+
+def test_a_release_that_is_reported_twice_changes_nothing():
+    """A handover comes again until it is acknowledged, and is handed over once."""
+    lists = make_lists()
+    told = (hold_lists.ReleasedRange(first=0, last=99, handover="h"),)
+    lists.hear(report(released=told), NOW_S)
+    lists.hear(report(released=told), NOW_S + 0.1)
+    assert lists.take_out_handover(*range_of_numbers(0, 99)) == "h"
+    assert lists.take_out_handover(*range_of_numbers(0, 99)) == ""
+
+
+def test_a_handover_goes_with_its_range_until_that_was_heard():
+    """Symptom: keys are slow for seconds after a planned move.
+    Events: the answer that carries the handover is lost.
+    Cause: it was sent once."""
+    lists = make_lists()
+    start, _ = range_of_numbers(0, 99)
+    lists.book.take_handover(("booking", start), "h")
+    want = (HoldRow(first=0, last=99, fence=10, handover="h"),)
+    assert lists.decide(report(), serving(a_slice()), NOW_S).rows == want
+    lists.hear(report("another", NOW_S + 0.9), NOW_S + 0.9)
+    assert lists.decide(report("another"), serving(a_slice()), NOW_S + 0.9).rows == want
+    lists.hear(report("another", NOW_S + 1, [(0, 99, 10)]), NOW_S + 1)
+    decided = lists.decide(report("another"), serving(a_slice()), NOW_S + 1)
+    assert decided.rows[0].handover == ""
+
+
+def test_a_range_with_a_short_lease_doesnt_shorten_the_others():
+    """Symptom: all keys of a server run out at one lost heartbeat.
+    Events: a claim that has just begun ends soon; a list has one time for all rows."""
+    short = ("booking", a_slice(100, 199), 11, NOW_S + 0.2)
+    both = serving(a_slice())
+    both = attrs.evolve(both, served=(*both.served, short))
+    decided = make_lists().decide(report(), both, NOW_S)
+    assert rows(decided) == [(0, 99, 10)]
+
+
+def test_news_are_what_waits_and_not_a_renewal():
+    """Each answer that is sent early leaves the node without one until the next
+    heartbeat, so only what waits is news."""
+    lists = make_lists()
+    assert lists.has_news(report(), serving(a_slice()), NOW_S)
+    lists.decide(report(), serving(a_slice()), NOW_S)
+    assert not lists.has_news(report(), serving(a_slice(), fence=12), NOW_S + 0.1)
+    assert lists.has_news(report(), serving(), NOW_S + 0.1)
+    lists.doubt("booking", range_of_numbers(5, 5)[0] + 1)
+    assert lists.has_news(report(), serving(a_slice()), NOW_S + 0.1)
+
+
+class ListsMachine(RuleBasedStateMachine):
+    """Lost, late and doubled answers, restarts of node and server, moves, takeovers."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = ListWorld()
+
+    @rule(duration_s=st.sampled_from([0.1, 0.5, 0.9, 2.1, 4.0]))
+    def pass_time(self, duration_s):
+        self.world.pass_time(duration_s)
+
+    @rule()
+    def renew(self):
+        if not self.world.others or self.world.now_s < self.world.lease_until_s:
+            self.world.renew()
+
+    @rule(
+        travels_s=st.sampled_from([0.0, 0.0, 0.3, 1.5]),
+        answered=st.booleans(),
+        kept=st.booleans(),
+    )
+    def heartbeat(self, travels_s, answered, kept):
+        self.world.heartbeat(travels_s, answered, kept)
+
+    @rule()
+    def answer_comes(self):
+        self.world.answer_comes()
+
+    @rule(piece=st.sampled_from(PIECES))
+    def move_away(self, piece):
+        self.world.move_away(piece)
+
+    @rule(piece=st.sampled_from(PIECES))
+    def move_back(self, piece):
+        self.world.move_back(piece)
+
+    @rule()
+    def take_over(self):
+        self.world.take_over()
+
+    @rule()
+    def restart_server(self):
+        self.world.restart_server()
+
+    @rule()
+    def restart_node(self):
+        self.world.begin_node()
+
+    @invariant()
+    def no_key_has_two_holders(self):
+        self.world.check()
+
+
+MACHINE_SETTINGS = settings(
+    max_examples=400,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    phases=(Phase.generate,),
+    report_multiple_bugs=False,
+)
+
+
+def play():
+    run_state_machine_as_test(ListsMachine, settings=MACHINE_SETTINGS)
+
+
+def test_no_key_has_two_holders_whatever_is_lost_or_late():
+    """One holder for each key, and fences that only grow, as an outsider sees them."""
+    play()
+
+
+def _count_from_the_answer(monkeypatch):
+    decide = hold_lists.HoldLists.decide
+
+    def longer(self, report, serving, now_s):
+        decided = decide(self, report, serving, now_s)
+        return decided and attrs.evolve(decided, hold_s=decided.hold_s + 0.4)
+
+    monkeypatch.setattr(hold_lists.HoldLists, "decide", longer)
+
+
+def _take_each_answer_for_received(monkeypatch):
+    settle = ListedHoldBook.settle
+
+    def settle_all(self, service, list_id, reported, now_s):
+        for hold in self._of(service):
+            hold.listed_until_s.clear()
+        settle(self, service, list_id, reported, now_s)
+
+    monkeypatch.setattr(ListedHoldBook, "settle", settle_all)
+    monkeypatch.setattr(
+        hold_lists.HoldLists,
+        "_same_line",
+        staticmethod(lambda sent, report: sent is not None),
+    )
+
+
+def _use_fences_again(monkeypatch):
+    monkeypatch.setattr(listed_holds.ListedHoldBook, "bars", lambda self, fences: False)
+    monkeypatch.setattr(
+        listed_holds.ListedHoldBook, "process_changed", lambda self: None
+    )
+
+
+@pytest.mark.parametrize(
+    "switch_off",
+    [_count_from_the_answer, _take_each_answer_for_received, _use_fences_again],
+)
+def test_each_mechanism_is_needed(switch_off, monkeypatch):
+    """With a mechanism off the same plays show two holders, or a fence used twice."""
+    switch_off(monkeypatch)
+    with pytest.raises(AssertionError):
+        play()
