--- a/comfreywharf/daemon/members.py
+++ b/comfreywharf/daemon/members.py
@@ -5,7 +5,7 @@
 import attrs
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.load import Ejector, MemberLoad
+from comfreywharf.load import Absences, Ejector, MemberLoad
 from comfreywharf.routing import Outcome, Reason
 
 __all__ = ["Members", "Sent"]
@@ -14,11 +14,12 @@
 """How old the list of a service's members may be. Going through all members for
 each request would cost more than the request where there are hundreds."""
 
+_ABSENT = frozenset({Reason.NO_BACKEND, Reason.PEER_UNREACHABLE, Reason.DRAINING})
+"""Refusals of a member that isn't there, or whose server isn't."""
+
 _FAILURES = frozenset(
     {
-        Reason.NO_BACKEND,
         Reason.REFUSED_BY_BACKEND,
-        Reason.PEER_UNREACHABLE,
         Reason.PEER_LOST,
         Reason.BACKEND_LOST,
         Reason.ANSWER_CUT,
@@ -49,6 +50,7 @@
         self.present = []
         self.listed_s = float("-inf")
         self.ejector = Ejector()
+        self.absences = Absences()
         self.chooser = chooser
 
 
@@ -67,6 +69,7 @@
         present = known.present
         if excluded:
             present = [m for m in present if m.node_id not in excluded]
+        present = known.absences.usable(present, now_s)
         if not present:
             return ""
         usable = known.ejector.usable(present, now_s, idempotent)
@@ -90,6 +93,7 @@
         now_s = boottime_s()
         sent = Sent(service, member, now_s, known.ejector.is_out(node_id))
         member.begin()
+        known.absences.asked(node_id)
         known.ejector.begun(member, now_s)
         return sent
 
@@ -98,6 +102,7 @@
         if sent is None:
             return
         known = self._services[sent.service]
+        self._note_presence(known, sent, reply)
         failed = _failed(reply)
         if failed is None:
             if reply is not None and reply.reason == Reason.OVERLOADED:
@@ -120,6 +125,15 @@
         if changed is not None:
             self._tell(sent, *changed)
 
+    @staticmethod
+    def _note_presence(known, sent, reply):
+        if reply is None:
+            known.absences.dropped(sent.member.node_id)
+        elif reply.reason and Reason(reply.reason) in _ABSENT:
+            known.absences.missed(sent.member.node_id, boottime_s())
+        else:
+            known.absences.met(sent.member.node_id, boottime_s())
+
     def _tell(self, sent, node_id, out):
         if not out:
             self._node.report("member_returned", service=sent.service, member=node_id)
--- a/comfreywharf/load/__init__.py
+++ b/comfreywharf/load/__init__.py
@@ -4,6 +4,7 @@
 `random.Random`. The shell is `comfreywharf.daemon.load`.
 """
 
+from comfreywharf.load.absences import Absences
 from comfreywharf.load.choice import (
     DEFAULT_CHOOSER,
     Chooser,
@@ -22,6 +23,7 @@
 from comfreywharf.load.quarantine import Crash, Quarantine, QuarantineEntry, Standing
 
 __all__ = [
+    "Absences",
     "DEFAULT_CHOOSER",
     "Chooser",
     "ConcurrencyLimit",
--- /dev/null
+++ b/comfreywharf/load/tests/test_absences.py
@@ -0,0 +1,64 @@
+"""Members that are gone: each test is a way in which they were asked, or weren't."""
+
+from types import SimpleNamespace
+
+from comfreywharf.load.absences import Absences
+
+MEMBERS = [SimpleNamespace(node_id=name) for name in "abc"]
+
+
+def names(members):
+    return [member.node_id for member in members]
+
+
+def test_two_lost_members_of_three_leave_the_third():
+    """Symptom: each request for a service meets two lost machines and is refused,
+    beside a server with room.
+    Events: two of three servers go for good; the third was met a moment before its
+    server was up.
+    Cause: half of a service's servers at most may be out, which one took up."""
+    absences = Absences()
+    for name in "abc":
+        absences.missed(name, 1.0)
+    assert names(absences.usable(MEMBERS, 1.1)) == []
+    assert names(absences.usable(MEMBERS, 1.3)) == ["a"]
+    absences.asked("a")
+    assert names(absences.usable(MEMBERS, 1.3)) == ["b"]
+    absences.asked("b")
+    absences.asked("c")
+    absences.met("c", 1.31)
+    absences.missed("a", 1.6)
+    absences.missed("b", 1.6)
+    assert names(absences.usable(MEMBERS, 1.7)) == ["c"]
+
+
+def test_a_lost_member_is_tried_ever_less_and_by_one_request():
+    """Symptom: a request in a few waits for a lost machine's silence.
+    Events: a machine is gone for good."""
+    absences = Absences()
+    now_s, tries = 0.0, 0
+    absences.missed("a", now_s)
+    while now_s < 20:
+        now_s += 0.05
+        if names(absences.usable(MEMBERS, now_s)) == ["a"]:
+            tries += 1
+            absences.asked("a")
+            absences.missed("a", now_s)
+    assert tries <= 8
+
+
+def test_a_member_that_comes_back_is_used_at_once():
+    """A server that began again isn't left alone for what was before."""
+    absences = Absences()
+    absences.missed("a", 0.0)
+    absences.asked("a")
+    absences.met("a", 0.31)
+    assert names(absences.usable(MEMBERS, 0.32)) == ["a", "b", "c"]
+
+
+def test_a_late_word_from_before_a_loss_doesnt_end_the_try():
+    """Two requests were on their way when the member went; each counts once."""
+    absences = Absences()
+    absences.missed("a", 0.0)
+    absences.missed("a", 0.1)
+    assert names(absences.usable(MEMBERS, 0.26)) == ["a"]
--- /dev/null
+++ b/comfreywharf_dev/losses/table.py
@@ -0,0 +1,68 @@
+"""Add up refused and unknown requests by service, reason and moment.
+
+Each node writes one line for each request that it refused or whose outcome it doesn't
+know (docs/OPERATIONS.md). A line may begin with anything before its JSON.
+"""
+
+from collections import Counter
+
+import attrs
+import orjson
+
+__all__ = ["Losses", "read_losses"]
+
+_LOST = frozenset({"refused", "unknown"})
+
+
+@attrs.define
+class Losses:
+    """How many requests were lost, by ``(service, decision, reason)`` and moment."""
+
+    window_s: float = 2.0
+    by_reason: Counter = attrs.Factory(Counter)
+    by_moment: dict = attrs.Factory(dict)
+    asked_again: Counter = attrs.Factory(Counter)
+    unreadable: int = 0
+
+    def add(self, at_s, line):
+        """Take one line's fields; ``at_s`` is its time, or ``None``."""
+        decision = line.get("decision")
+        if decision == "sent_again":
+            self.asked_again[line.get("after", "")] += 1
+        if decision not in _LOST:
+            return
+        key = (line.get("service", ""), decision, line.get("reason", ""))
+        self.by_reason[key] += 1
+        if at_s is not None:
+            moment = int(at_s // self.window_s) * self.window_s
+            self.by_moment.setdefault(moment, Counter())[key[1:]] += 1
+
+    def rows(self):
+        """Yield ``(service, decision, reason, count, fraction)``, the largest first."""
+        total = self.by_reason.total()
+        for key, count in self.by_reason.most_common():
+            yield *key, count, count / total
+
+
+def read_losses(lines, window_s=2.0):
+    """Return the `Losses` in lines of text; what isn't a decision is passed over."""
+    losses = Losses(window_s=window_s)
+    for text in lines:
+        place = text.find("{")
+        if place < 0 or '"decision"' not in text:
+            continue
+        try:
+            fields = orjson.loads(text[place:])
+        except orjson.JSONDecodeError:
+            losses.unreadable += 1
+            continue
+        losses.add(_time_s(text[:place]), fields)
+    return losses
+
+
+def _time_s(before):
+    words = before.split()
+    try:
+        return float(words[0]) if words else None
+    except ValueError:
+        return None
