Count what an earlier process may have granted from this one's begin

Hypothesis: after all nodes were killed the keys are dark until each witness has been silent for a lease. It counted from when the log was caught up, a second and more after the process began, though nothing can have been granted since before that.

Ruled out: shorter leases, which a lost heartbeat would outlast.

--- a/comfreywharf/clock.py
+++ b/comfreywharf/clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["boottime_s"]
+__all__ = ["PROCESS_BEGAN_S", "boottime_s"]
 
 
 def boottime_s():
@@ -15,3 +15,8 @@
     Source: clock_gettime(2), ``CLOCK_BOOTTIME``.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+PROCESS_BEGAN_S = boottime_s()
+"""When this process began, if this module is imported first. All that an earlier
+process of the node granted or promised lies before it."""
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -45,10 +45,15 @@
 
 
 class Node:
-    """The process beside one backend server."""
+    """The process beside one backend server.
 
-    def __init__(self, settings, ports=None):
+    ``began_s`` is when its process began, or a later time: what an earlier process of
+    the node granted counts from then.
+    """
+
+    def __init__(self, settings, ports=None, began_s=None):
         self.settings = settings
+        self.began_s = boottime_s() if began_s is None else began_s
         self.ports = ports or OwnPorts(settings)
         self.incarnation = time.time_ns() // 1_000_000
         self.begun = Event()
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -5,7 +5,6 @@
 from gevent import pywsgi
 from geventhttpclient.response import HTTPParseError
 
-from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.backend_life import BackendLife
 from comfreywharf.daemon.decisions import StdoutLines
 from comfreywharf.daemon.declaring import Declaring
@@ -135,7 +134,7 @@
             longest_s=settings.longest_hold_s,
             slow_clock=settings.slow_clock,
         )
-        book = ListedHoldBook.of_new_process(terms, boottime_s())
+        book = ListedHoldBook.of_new_process(terms, node.began_s)
         interval_s = settings.heartbeat_interval_s
         ways = {
             GrantWay.ORDERS: RangeGrants(node, book, LONGEST_WORK_S),
