--- a/comfreywharf/ownership/tests/test_hold_lists.py
+++ b/comfreywharf/ownership/tests/test_hold_lists.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from hypothesis import Phase, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
@@ -231,6 +231,7 @@
     deadline=None,
     phases=(Phase.generate,),
     report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
 )
 
 
