--- a/comfreywharf/daemon/tests/test_front.py
+++ b/comfreywharf/daemon/tests/test_front.py
@@ -39,7 +39,9 @@
 @pytest.fixture
 def server(application):
     limits = FrontLimits(header_bytes=1000, header_timeout_s=0.3, idle_timeout_s=0.6)
-    started = CallerServer("127.0.0.1", 0, application, lambda: limits)
+    started = CallerServer(
+        "127.0.0.1", 0, application, lambda: limits, lambda head: head.method == "PUT"
+    )
     started.start()
     yield started
     started.stop()
