Take no ended connection for one on which an answer is awaited

Cause: while a slow caller takes a long answer nobody reads from the server's connection, so that its end isn't noticed; a crashed server whose port refuses then counts as at work, and its keys wait for its last grant. The end is looked for now where it is asked whether an answer is awaited.

Ruled out: to read ahead of a slow caller, which takes memory without a bound.

A test that put a text in the place of a lent connection has a pair of sockets there now, and shows the end of one as well.

--- a/comfreywharf/daemon/http.py
+++ b/comfreywharf/daemon/http.py
@@ -8,7 +8,7 @@
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
-from comfreywharf.transport.sockets import is_quiet
+from comfreywharf.transport.sockets import has_ended, is_quiet
 
 __all__ = [
     "BackendResponse",
@@ -43,6 +43,11 @@
         """Return how many connections are in use."""
         return len(self._lent)
 
+    @property
+    def lends_open(self):
+        """Return whether a connection is in use that its other end keeps open."""
+        return any(not has_ended(sock) for sock in self._lent)
+
     def get_socket(self):
         """Return an idle connection, or a new one."""
         sock = super().get_socket()
@@ -281,8 +286,12 @@
 
     @property
     def awaits(self):
-        """Return whether an answer is awaited on a connection that is open."""
-        return self._pool.lent > 0
+        """Return whether an answer is awaited on a connection that is open.
+
+        While a slow caller is waited for nobody reads there, so that the end of the
+        stream is looked for.
+        """
+        return self._pool.lends_open
 
     def connect(self):
         """Return a connection: an idle one, or a new one.
--- a/comfreywharf/daemon/tests/test_backend_lost.py
+++ b/comfreywharf/daemon/tests/test_backend_lost.py
@@ -1,5 +1,7 @@
 """When a node gives its backend server up, and when it is taken for ended."""
 
+import socket
+
 import gevent
 
 from comfreywharf.clock import boottime_s
@@ -66,9 +68,11 @@
     node, _ = make_node()
     node.backend_announced(announcement("i-1"))
     backend = node.backend
-    backend._client._pool._lent.add("a connection")
+    ours, servers = socket.socketpair()
+    backend._client._pool._lent.add(ours)
     node.backend_refused(backend)
     assert node.backend is backend
-    backend._client._pool._lent.clear()
+    servers.close()
     node.backend_refused(backend)
     assert node.backend is None
+    ours.close()
--- a/comfreywharf/transport/sockets.py
+++ b/comfreywharf/transport/sockets.py
@@ -16,6 +16,7 @@
     "MAX_FRAME_BYTES",
     "CheckedProtocol",
     "SocketTransport",
+    "has_ended",
     "is_quiet",
     "protocol_over",
 ]
@@ -43,6 +44,18 @@
     return not poll.poll(0)
 
 
+def has_ended(sock):
+    """Return whether the other end of a connection has closed it, or is gone.
+
+    Bytes that wait to be read don't matter, unlike in `is_quiet`.
+    """
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class SocketTransport(TTransportBase):
     """Bytes to and from a gevent socket, read ahead to spare system calls."""
 
