Divide daemon/ into rooms by matter

58 modules lay side by side. They lie in seven folders now, by what they are about: requests on their way, the backend server, owning, recording, belonging, operating, and connections; the parts that start and stop a node, its ports and its calls stay above them. Each folder says its matter and what the others use of it. Nothing else changed but the paths of imports and in pages.

Before: 58 modules in one folder, one import cycle by matter (the log's client used the HTTP clients, the leaving of a server the log). After: at most 18 in one, no cycle.

--- a/comfreywharf/cli/client.py
+++ b/comfreywharf/cli/client.py
@@ -12,8 +12,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.cli.exits import CommandError, ExitCode
-from comfreywharf.daemon.documents import ErrorDocument, NodeDocument
-from comfreywharf.daemon.http import SingleSendClient
+from comfreywharf.daemon.connections.http import SingleSendClient
+from comfreywharf.daemon.operating.documents import ErrorDocument, NodeDocument
 
 __all__ = ["AnswerLost", "NodeClient", "ask_all", "converter", "other_nodes"]
 
--- a/comfreywharf/cli/config.py
+++ b/comfreywharf/cli/config.py
@@ -18,7 +18,7 @@
     submit_once,
 )
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import (
+from comfreywharf.daemon.operating.documents import (
     NOT_SENT,
     ConfigDocument,
     PatchOrder,
--- a/comfreywharf/cli/doctor.py
+++ b/comfreywharf/cli/doctor.py
@@ -11,7 +11,11 @@
 from comfreywharf.cli.exits import CommandError, ExitCode
 from comfreywharf.cli.output import count_of, show, table
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import CheckDocument, DoctorDocument, StatusDocument
+from comfreywharf.daemon.operating.documents import (
+    CheckDocument,
+    DoctorDocument,
+    StatusDocument,
+)
 from comfreywharf.settings import read_settings
 
 __all__ = ["register"]
--- a/comfreywharf/cli/events.py
+++ b/comfreywharf/cli/events.py
@@ -9,7 +9,7 @@
 from comfreywharf.cli.exits import CommandError, ExitCode
 from comfreywharf.cli.output import complain, table
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import StatusDocument
+from comfreywharf.daemon.operating.documents import StatusDocument
 from comfreywharf.events import Severity
 from comfreywharf.events.timeline import MISSING, from_json, merge, render_json
 from comfreywharf.events.timeline.merge import severity_of, time_ms
--- a/comfreywharf/cli/keys.py
+++ b/comfreywharf/cli/keys.py
@@ -8,7 +8,7 @@
 from comfreywharf.cli.exits import CommandError, ExitCode
 from comfreywharf.cli.output import show, table
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import OwnerDocument
+from comfreywharf.daemon.operating.documents import OwnerDocument
 from comfreywharf.records import key_hash
 
 __all__ = ["register"]
--- a/comfreywharf/cli/nodes.py
+++ b/comfreywharf/cli/nodes.py
@@ -12,7 +12,7 @@
 from comfreywharf.cli.output import complain, count_of, show, table
 from comfreywharf.cli.submission import ask_again, exit_code, submit_once
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import (
+from comfreywharf.daemon.operating.documents import (
     DrainDocument,
     DrainOrder,
     NodeDocument,
--- a/comfreywharf/cli/quarantine.py
+++ b/comfreywharf/cli/quarantine.py
@@ -6,7 +6,7 @@
 from comfreywharf.cli.nodes import login_name
 from comfreywharf.cli.output import show, table
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import LiftOrder, QuarantineDocument
+from comfreywharf.daemon.operating.documents import LiftOrder, QuarantineDocument
 
 __all__ = ["register"]
 
--- a/comfreywharf/cli/rollout.py
+++ b/comfreywharf/cli/rollout.py
@@ -7,7 +7,7 @@
 
 from comfreywharf.cli.client import ask_all, other_nodes
 from comfreywharf.cli.exits import CommandError
-from comfreywharf.daemon.documents import ServiceDocument, StatusDocument
+from comfreywharf.daemon.operating.documents import ServiceDocument, StatusDocument
 
 __all__ = ["Rollout", "follow_rollout"]
 
--- a/comfreywharf/cli/submission.py
+++ b/comfreywharf/cli/submission.py
@@ -4,7 +4,7 @@
 
 from comfreywharf.cli.client import AnswerLost, other_nodes
 from comfreywharf.cli.exits import CommandError, ExitCode
-from comfreywharf.daemon.documents import SubmissionDocument, Verdict
+from comfreywharf.daemon.operating.documents import SubmissionDocument, Verdict
 
 __all__ = ["ask_again", "exit_code", "resolve", "submit_once"]
 
--- a/comfreywharf/cli/tests/builders.py
+++ b/comfreywharf/cli/tests/builders.py
@@ -1,7 +1,7 @@
 """Nodes without processes for tests of the tool: answers in a row."""
 
 from comfreywharf.cli.client import AnswerLost
-from comfreywharf.daemon.documents import (
+from comfreywharf.daemon.operating.documents import (
     NodeDocument,
     PatchOrder,
     SubmissionDocument,
--- a/comfreywharf/cli/tests/test_submission.py
+++ b/comfreywharf/cli/tests/test_submission.py
@@ -7,7 +7,7 @@
 from comfreywharf.cli.exits import CommandError, ExitCode
 from comfreywharf.cli.submission import exit_code, submit_once
 from comfreywharf.cli.tests.builders import FakeNode, order, submission
-from comfreywharf.daemon.documents import SubmissionDocument, Verdict
+from comfreywharf.daemon.operating.documents import SubmissionDocument, Verdict
 
 verdicts = st.sampled_from([None, "accepted", "refused", "unknown"])
 
--- a/comfreywharf/cli/timeline.py
+++ b/comfreywharf/cli/timeline.py
@@ -11,7 +11,7 @@
 from comfreywharf.cli.events import complain_of, fetch
 from comfreywharf.cli.exits import CommandError, ExitCode
 from comfreywharf.cli.target import Target
-from comfreywharf.daemon.documents import NodeDocument
+from comfreywharf.daemon.operating.documents import NodeDocument
 from comfreywharf.events import parse_line
 from comfreywharf.events.timeline import (
     lanes_of,
--- a/comfreywharf/daemon/gossip.py
+++ b/comfreywharf/daemon/belonging/gossip.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.snapshots import encode_slowly
+from comfreywharf.daemon.recording.snapshots import encode_slowly
 from comfreywharf.membership.gossip import GossipPace, choose_partners, push_count
 from comfreywharf.records.snapshots import SnapshotAssembler
 from comfreywharf.transport import CallError, PeerClient
--- a/comfreywharf/daemon/gossip_calls.py
+++ b/comfreywharf/daemon/belonging/gossip_calls.py
@@ -1,7 +1,7 @@
 """The calls between nodes that spread records, notices and load reports."""
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.load_reports import node_report
+from comfreywharf.daemon.owning.load_reports import node_report
 from comfreywharf.transport.gen.ttypes import LoadReportReply
 
 __all__ = ["GossipCalls"]
--- /dev/null
+++ b/comfreywharf/daemon/connections/__init__.py
@@ -0,0 +1,4 @@
+"""HTTP as it is spoken here: clients that send once, servers that send at once.
+
+The others use `SingleSendClient`, `BoundClient`, `NodelayHandler` and `JsonPort`.
+"""
--- a/comfreywharf/daemon/bound_pool.py
+++ b/comfreywharf/daemon/connections/bound_pool.py
@@ -7,7 +7,7 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.http import NodelayPool, SingleSendClient
+from comfreywharf.daemon.connections.http import NodelayPool, SingleSendClient
 from comfreywharf.ownership.bond import ProcessBond
 
 __all__ = ["BoundClient"]
--- a/comfreywharf/daemon/jsonport.py
+++ b/comfreywharf/daemon/connections/jsonport.py
@@ -12,8 +12,8 @@
 from gevent import pywsgi
 from gevent.pool import Pool
 
-from comfreywharf.daemon.documents import ErrorDocument
-from comfreywharf.daemon.http import NodelayHandler
+from comfreywharf.daemon.connections.http import NodelayHandler
+from comfreywharf.daemon.operating.documents import ErrorDocument
 from comfreywharf.records.codec import converter
 from comfreywharf.settings import suggest
 
--- a/comfreywharf/daemon/handler.py
+++ b/comfreywharf/daemon/handler.py
@@ -1,8 +1,8 @@
 """The peers' port: the thrift interface ``Node``, as other nodes call it."""
 
-from comfreywharf.daemon.forward_calls import ForwardCalls
-from comfreywharf.daemon.gossip_calls import GossipCalls
-from comfreywharf.daemon.lease_calls import LeaseCalls
+from comfreywharf.daemon.belonging.gossip_calls import GossipCalls
+from comfreywharf.daemon.owning.lease_calls import LeaseCalls
+from comfreywharf.daemon.requests.forward_calls import ForwardCalls
 
 __all__ = ["PeerHandler"]
 
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -6,28 +6,32 @@
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.decisions import Decisions
-from comfreywharf.daemon.dispatch import Dispatcher
-from comfreywharf.daemon.follower import Follower, NotAcknowledged, new_record_id
-from comfreywharf.daemon.forwarder import Forwarder
-from comfreywharf.daemon.gossip import Gossip
+from comfreywharf.daemon.belonging.gossip import Gossip
+from comfreywharf.daemon.belonging.notices import Notices
+from comfreywharf.daemon.belonging.peers import Peers
+from comfreywharf.daemon.belonging.relaying import Relaying
 from comfreywharf.daemon.handler import PeerHandler
-from comfreywharf.daemon.ingress import Ingress
-from comfreywharf.daemon.leases import Leases
-from comfreywharf.daemon.load import Load
-from comfreywharf.daemon.load_reports import LoadReports
-from comfreywharf.daemon.memory import NodeMemory
-from comfreywharf.daemon.metering import Meter
-from comfreywharf.daemon.notices import Notices
-from comfreywharf.daemon.peers import Peers
-from comfreywharf.daemon.planner import Planner
+from comfreywharf.daemon.operating.decisions import Decisions
+from comfreywharf.daemon.operating.metering import Meter
+from comfreywharf.daemon.operating.reporter import Reporter
+from comfreywharf.daemon.owning.leases import Leases
+from comfreywharf.daemon.owning.load_reports import LoadReports
+from comfreywharf.daemon.owning.planner import Planner
+from comfreywharf.daemon.owning.witnessing import Witnessing
 from comfreywharf.daemon.ports import OwnPorts
-from comfreywharf.daemon.relaying import Relaying
-from comfreywharf.daemon.reporter import Reporter
-from comfreywharf.daemon.routes import Routes
-from comfreywharf.daemon.snapshots import SnapshotWriter
+from comfreywharf.daemon.recording.follower import (
+    Follower,
+    NotAcknowledged,
+    new_record_id,
+)
+from comfreywharf.daemon.recording.snapshots import SnapshotWriter
+from comfreywharf.daemon.requests.dispatch import Dispatcher
+from comfreywharf.daemon.requests.forwarder import Forwarder
+from comfreywharf.daemon.requests.ingress import Ingress
+from comfreywharf.daemon.requests.load import Load
+from comfreywharf.daemon.requests.memory import NodeMemory
+from comfreywharf.daemon.requests.routes import Routes
 from comfreywharf.daemon.stopping import stop_gracefully, stop_within
-from comfreywharf.daemon.witnessing import Witnessing
 from comfreywharf.events.ownership import OwnershipChanges
 from comfreywharf.membership import NodeFacts, NodeLife, Pauses
 from comfreywharf.metrics import Metrics
--- /dev/null
+++ b/comfreywharf/daemon/operating/__init__.py
@@ -0,0 +1,4 @@
+"""What operators and on-call engineers see: pages, events, lines and metrics.
+
+The others use `OperatorPort`, `Reporter`, `Decisions` and `Meter`.
+"""
--- a/comfreywharf/daemon/diagnosis.py
+++ b/comfreywharf/daemon/operating/diagnosis.py
@@ -5,9 +5,9 @@
 from gevent.pool import Pool
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.documents import CheckDocument, DoctorDocument
-from comfreywharf.daemon.http import SingleSendClient
-from comfreywharf.daemon.logclient import LogClient, LogError, LogTruncated
+from comfreywharf.daemon.connections.http import SingleSendClient
+from comfreywharf.daemon.operating.documents import CheckDocument, DoctorDocument
+from comfreywharf.daemon.recording.logclient import LogClient, LogError, LogTruncated
 
 __all__ = ["diagnose"]
 
--- a/comfreywharf/daemon/operators.py
+++ b/comfreywharf/daemon/operating/operators.py
@@ -7,10 +7,10 @@
 from absl import logging
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.assignments import AssignmentReasons
-from comfreywharf.daemon.backend import Announcement
-from comfreywharf.daemon.diagnosis import diagnose
-from comfreywharf.daemon.documents import (
+from comfreywharf.daemon.connections.jsonport import BadInput, JsonPort, Reply
+from comfreywharf.daemon.operating.assignments import AssignmentReasons
+from comfreywharf.daemon.operating.diagnosis import diagnose
+from comfreywharf.daemon.operating.documents import (
     DrainDocument,
     DrainOrder,
     LiftOrder,
@@ -19,14 +19,13 @@
     StatusDocument,
     Verdict,
 )
-from comfreywharf.daemon.jsonport import BadInput, JsonPort, Reply
-from comfreywharf.daemon.submissions import (
+from comfreywharf.daemon.operating.submissions import (
     patch_from_order,
     submission,
     submit_patch,
     submit_record,
 )
-from comfreywharf.daemon.views import (
+from comfreywharf.daemon.operating.views import (
     config_document,
     configuration_at,
     node_documents,
@@ -34,6 +33,7 @@
     service_documents,
     version_documents,
 )
+from comfreywharf.daemon.servers.backend import Announcement
 from comfreywharf.records import KEY_SPACE, DrainChanged
 from comfreywharf.records.codec import converter
 
--- a/comfreywharf/daemon/views.py
+++ b/comfreywharf/daemon/operating/views.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from comfreywharf.daemon.documents import (
+from comfreywharf.daemon.operating.documents import (
     ConfigDocument,
     NodeDocument,
     OwnerDocument,
--- a/comfreywharf/daemon/grants_by_service.py
+++ b/comfreywharf/daemon/owning/grants_by_service.py
@@ -1,6 +1,6 @@
 """Each service's own way of telling its backend servers what they hold."""
 
-from comfreywharf.daemon.key_grants import KeyGrants
+from comfreywharf.daemon.owning.key_grants import KeyGrants
 from comfreywharf.routes import GrantWay
 
 __all__ = ["GrantsByService"]
--- a/comfreywharf/daemon/leases.py
+++ b/comfreywharf/daemon/owning/leases.py
@@ -5,12 +5,12 @@
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.follower import NotAcknowledged, new_record_id
-from comfreywharf.daemon.lease_messages import (
+from comfreywharf.daemon.owning.lease_messages import (
     claim_request,
     grant_of,
     renew_request,
 )
+from comfreywharf.daemon.recording.follower import NotAcknowledged, new_record_id
 from comfreywharf.ownership import (
     Append,
     AskRelease,
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -7,13 +7,13 @@
 
 from abc import ABC, abstractmethod
 
-from comfreywharf.daemon.backend import Backend
-from comfreywharf.daemon.decisions import no_lines
-from comfreywharf.daemon.follower import ReadPace
-from comfreywharf.daemon.grants import Grants
-from comfreywharf.daemon.logclient import LogClient
-from comfreywharf.daemon.operators import BackendPort, OperatorPort
-from comfreywharf.daemon.wire import OwnDialect
+from comfreywharf.daemon.operating.decisions import no_lines
+from comfreywharf.daemon.operating.operators import BackendPort, OperatorPort
+from comfreywharf.daemon.owning.grants import Grants
+from comfreywharf.daemon.recording.follower import ReadPace
+from comfreywharf.daemon.recording.logclient import LogClient
+from comfreywharf.daemon.requests.wire import OwnDialect
+from comfreywharf.daemon.servers.backend import Backend
 from comfreywharf.load import DEFAULT_CHOOSER, ConcurrencyLimit
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.fairqueue import FairQueue
--- a/comfreywharf/daemon/appender.py
+++ b/comfreywharf/daemon/recording/appender.py
@@ -6,8 +6,8 @@
 from absl import logging
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.batches import Batches
-from comfreywharf.daemon.logclient import LogBusy, LogError
+from comfreywharf.daemon.recording.batches import Batches
+from comfreywharf.daemon.recording.logclient import LogBusy, LogError
 from comfreywharf.records import encode_record
 from comfreywharf.records.appends import AppendBudget, Backoff, Priority, priority_of
 
--- a/comfreywharf/daemon/follower.py
+++ b/comfreywharf/daemon/recording/follower.py
@@ -9,9 +9,9 @@
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.appender import Appender, NotAcknowledged
-from comfreywharf.daemon.logclient import LogError, LogTruncated
-from comfreywharf.daemon.snapshots import begin_anew, read_newest
+from comfreywharf.daemon.recording.appender import Appender, NotAcknowledged
+from comfreywharf.daemon.recording.logclient import LogError, LogTruncated
+from comfreywharf.daemon.recording.snapshots import begin_anew, read_newest
 from comfreywharf.records.appends import Backoff, Priority
 from comfreywharf.records.replica import Replica
 
--- a/comfreywharf/daemon/logclient.py
+++ b/comfreywharf/daemon/recording/logclient.py
@@ -5,7 +5,7 @@
 import orjson
 from geventhttpclient.response import HTTPParseError
 
-from comfreywharf.daemon.http import SingleSendClient
+from comfreywharf.daemon.connections.http import SingleSendClient
 
 __all__ = ["Batch", "LogBusy", "LogClient", "LogError", "LogTraffic", "LogTruncated"]
 
--- a/comfreywharf/daemon/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -4,9 +4,9 @@
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.caller_requests import TARGET_PASSED_MS
-from comfreywharf.daemon.quarantine import request_fingerprint
-from comfreywharf.daemon.replies import refusal
+from comfreywharf.daemon.requests.caller_requests import TARGET_PASSED_MS
+from comfreywharf.daemon.requests.quarantine import request_fingerprint
+from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import Ticket
 from comfreywharf.load.admission import (
     Arrived,
--- a/comfreywharf/daemon/caller_requests.py
+++ b/comfreywharf/daemon/requests/caller_requests.py
@@ -6,7 +6,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from comfreywharf.daemon.wire import caller_headers
+from comfreywharf.daemon.requests.wire import caller_headers
 from comfreywharf.records import ServiceConfig
 from comfreywharf.routing import SAFE_METHODS, Reason
 from comfreywharf.transport.gen.ttypes import ForwardRequest
--- a/comfreywharf/daemon/caller_watch.py
+++ b/comfreywharf/daemon/requests/caller_watch.py
@@ -11,7 +11,7 @@
 from gevent import socket
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.bodies import CallerBody
+from comfreywharf.daemon.requests.bodies import CallerBody
 from comfreywharf.records import ServiceConfig
 from comfreywharf.transport.gen.ttypes import ForwardRequest
 
--- a/comfreywharf/daemon/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -4,10 +4,10 @@
 from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend import BackendError
-from comfreywharf.daemon.bodies import PART_BYTES, BodyError
-from comfreywharf.daemon.caller_requests import target_left_ms
-from comfreywharf.daemon.replies import refusal
+from comfreywharf.daemon.requests.bodies import PART_BYTES, BodyError
+from comfreywharf.daemon.requests.caller_requests import target_left_ms
+from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.records import key_hash
 from comfreywharf.routing import (
     GiveUp,
--- a/comfreywharf/daemon/forward_calls.py
+++ b/comfreywharf/daemon/requests/forward_calls.py
@@ -4,10 +4,10 @@
 from absl import logging
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend import BackendError
-from comfreywharf.daemon.bodies import PART_BYTES, Streams, Upload
-from comfreywharf.daemon.forwarder import StreamedReply
-from comfreywharf.daemon.replies import refusal
+from comfreywharf.daemon.requests.bodies import PART_BYTES, Streams, Upload
+from comfreywharf.daemon.requests.forwarder import StreamedReply
+from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.records import key_hash
 from comfreywharf.routing import Reason
 from comfreywharf.transport.gen.ttypes import BodyChunk
--- a/comfreywharf/daemon/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -4,11 +4,11 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend import BackendError
-from comfreywharf.daemon.bodies import BodyError
-from comfreywharf.daemon.replies import answer_of, refusal, remembered
-from comfreywharf.daemon.running import RunningRequests
-from comfreywharf.daemon.wire import answer_headers
+from comfreywharf.daemon.requests.bodies import BodyError
+from comfreywharf.daemon.requests.replies import answer_of, refusal, remembered
+from comfreywharf.daemon.requests.running import RunningRequests
+from comfreywharf.daemon.requests.wire import answer_headers
+from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.routing import (
     SAFE_METHODS,
     Outcome,
--- a/comfreywharf/daemon/front.py
+++ b/comfreywharf/daemon/requests/front.py
@@ -17,13 +17,13 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from comfreywharf.daemon.caller_stream import (
+from comfreywharf.daemon.connections.http import cut_connection
+from comfreywharf.daemon.requests.caller_stream import (
     BLOCK_BYTES,
     BadRequest,
     CallerGone,
     CallerStream,
 )
-from comfreywharf.daemon.http import cut_connection
 
 __all__ = ["Answer", "CallerServer"]
 
--- a/comfreywharf/daemon/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -8,13 +8,13 @@
 from returns.result import Failure
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.bodies import BodyError, CallerBody
-from comfreywharf.daemon.caller_requests import parse_request
-from comfreywharf.daemon.caller_watch import Call, CallerWatch
-from comfreywharf.daemon.dispatch import AnswerCut
-from comfreywharf.daemon.forwarder import INLINE_BODY_BYTES
-from comfreywharf.daemon.http import NodelayHandler, cut_connection
-from comfreywharf.daemon.replies import refusal
+from comfreywharf.daemon.connections.http import NodelayHandler, cut_connection
+from comfreywharf.daemon.requests.bodies import BodyError, CallerBody
+from comfreywharf.daemon.requests.caller_requests import parse_request
+from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
+from comfreywharf.daemon.requests.dispatch import AnswerCut
+from comfreywharf.daemon.requests.forwarder import INLINE_BODY_BYTES
+from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.routing import Outcome, Reason
 
 __all__ = ["BodySource", "Ingress"]
--- a/comfreywharf/daemon/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -6,10 +6,10 @@
 import attrs
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.admission import Admission, Slot
-from comfreywharf.daemon.members import Members
-from comfreywharf.daemon.quarantine import QuarantineShell, request_fingerprint
-from comfreywharf.daemon.replies import refusal
+from comfreywharf.daemon.requests.admission import Admission, Slot
+from comfreywharf.daemon.requests.members import Members
+from comfreywharf.daemon.requests.quarantine import QuarantineShell, request_fingerprint
+from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import HotKeys, Standing
 from comfreywharf.load.admission import AdmissionState, Result
 from comfreywharf.records import ServiceConfig
--- a/comfreywharf/daemon/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -9,7 +9,7 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.http import SingleSendClient, shut_down
+from comfreywharf.daemon.connections.http import SingleSendClient, shut_down
 from comfreywharf.membership.lives import Life
 from comfreywharf.routing import Reason
 
--- a/comfreywharf/daemon/backend_life.py
+++ b/comfreywharf/daemon/servers/backend_life.py
@@ -3,7 +3,7 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.draining import tell_draining
+from comfreywharf.daemon.servers.draining import tell_draining
 from comfreywharf.membership.instances import Instances, Word
 
 __all__ = ["BackendLife"]
--- a/comfreywharf/daemon/tests/builders.py
+++ b/comfreywharf/daemon/tests/builders.py
@@ -6,8 +6,8 @@
 from gevent.server import StreamServer
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend import Announcement, Backend
-from comfreywharf.daemon.running import Running
+from comfreywharf.daemon.requests.running import Running
+from comfreywharf.daemon.servers.backend import Announcement, Backend
 from comfreywharf.ownership import Right
 from comfreywharf.routing import RequestKey
 from comfreywharf.settings.model import Address, NodeSettings
--- a/comfreywharf/daemon/tests/operator_builders.py
+++ b/comfreywharf/daemon/tests/operator_builders.py
@@ -5,8 +5,8 @@
 
 import orjson
 
-from comfreywharf.daemon.follower import NotAcknowledged
-from comfreywharf.daemon.operators import OperatorPort
+from comfreywharf.daemon.operating.operators import OperatorPort
+from comfreywharf.daemon.recording.follower import NotAcknowledged
 from comfreywharf.events import EventRing
 from comfreywharf.records import (
     ClusterState,
--- a/comfreywharf/daemon/tests/test_backend_answers.py
+++ b/comfreywharf/daemon/tests/test_backend_answers.py
@@ -6,7 +6,7 @@
 import pytest
 from geventhttpclient.response import HTTPParseError
 
-from comfreywharf.daemon.backend import BackendError
+from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.tests.builders import (
     Reply,
     ScriptedServer,
--- a/comfreywharf/daemon/tests/test_backend_lost.py
+++ b/comfreywharf/daemon/tests/test_backend_lost.py
@@ -5,9 +5,9 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend_life import BackendLife
 from comfreywharf.daemon.node import Node
 from comfreywharf.daemon.ports import OwnPorts
+from comfreywharf.daemon.servers.backend_life import BackendLife
 from comfreywharf.daemon.tests.builders import announcement, node_settings
 
 
--- a/comfreywharf/daemon/tests/test_batches.py
+++ b/comfreywharf/daemon/tests/test_batches.py
@@ -3,8 +3,8 @@
 import gevent
 import pytest
 
-from comfreywharf.daemon.batches import Batches
-from comfreywharf.daemon.logclient import LogError
+from comfreywharf.daemon.recording.batches import Batches
+from comfreywharf.daemon.recording.logclient import LogError
 
 
 class FakeLog:
--- a/comfreywharf/daemon/tests/test_bound_pool.py
+++ b/comfreywharf/daemon/tests/test_bound_pool.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
-from comfreywharf.daemon.bound_pool import BoundClient
+from comfreywharf.daemon.connections.bound_pool import BoundClient
 
 WAIT_S = 10.0
 RESET = struct.pack("ii", 1, 0)
--- a/comfreywharf/daemon/tests/test_declaring.py
+++ b/comfreywharf/daemon/tests/test_declaring.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from comfreywharf.daemon.declaring import SLICES_PER_SERVER, Declaring
-from comfreywharf.daemon.routes import Routes
+from comfreywharf.daemon.owning.declaring import SLICES_PER_SERVER, Declaring
+from comfreywharf.daemon.requests.routes import Routes
 from comfreywharf.placement import PlacementPace
 from comfreywharf.records import ClusterState, Configuration
 from comfreywharf.routes.tests.builders import make_table
--- a/comfreywharf/daemon/tests/test_front.py
+++ b/comfreywharf/daemon/tests/test_front.py
@@ -6,8 +6,8 @@
 import pytest
 from gevent import socket
 
-from comfreywharf.daemon.caller_stream import FrontLimits
-from comfreywharf.daemon.front import Answer, CallerServer
+from comfreywharf.daemon.requests.caller_stream import FrontLimits
+from comfreywharf.daemon.requests.front import Answer, CallerServer
 
 
 class Application:
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from comfreywharf.daemon.members import Members
+from comfreywharf.daemon.requests.members import Members
 from comfreywharf.load import TwoChoices
 from comfreywharf.records.tests.builders import make_member
 
--- a/comfreywharf/daemon/tests/test_outdated_grants.py
+++ b/comfreywharf/daemon/tests/test_outdated_grants.py
@@ -5,8 +5,8 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend import Announcement
-from comfreywharf.daemon.range_grants import Orders, RangeGrants
+from comfreywharf.daemon.owning.range_grants import Orders, RangeGrants
+from comfreywharf.daemon.servers.backend import Announcement
 from comfreywharf.ownership.holds import GrantAnswer, HoldTerms
 from comfreywharf.ownership.listed_holds import ListedHoldBook
 from comfreywharf.records import KEY_SPACE, Slice
--- a/comfreywharf/daemon/tests/test_refused_appends.py
+++ b/comfreywharf/daemon/tests/test_refused_appends.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from comfreywharf.daemon.follower import Follower
-from comfreywharf.daemon.logclient import LogError
+from comfreywharf.daemon.recording.follower import Follower
+from comfreywharf.daemon.recording.logclient import LogError
 
 
 class SilentClient:
--- a/comfreywharf/events/tests/test_decisions.py
+++ b/comfreywharf/events/tests/test_decisions.py
@@ -6,7 +6,7 @@
 import orjson
 import pytest
 
-from comfreywharf.daemon.decisions import StdoutLines
+from comfreywharf.daemon.operating.decisions import StdoutLines
 from comfreywharf.events.decisions import LINES_BURST, DecisionLog, is_sampled
 from comfreywharf.events.explain import read_steps, tell_story
 
--- a/comfreywharf/load/__init__.py
+++ b/comfreywharf/load/__init__.py
@@ -1,7 +1,7 @@
 """Decisions under load: admission, choice of servers, hot keys, quarantine.
 
 Everything here is pure: no clock, no sockets, no greenlets; chance comes as a
-`random.Random`. The shell is `comfreywharf.daemon.load`.
+`random.Random`. The shell is `comfreywharf.daemon.requests.load`.
 """
 
 from comfreywharf.load.absences import Absences
--- a/comfreywharf/platform/announcements.py
+++ b/comfreywharf/platform/announcements.py
@@ -6,7 +6,7 @@
 import attrs
 import orjson
 
-from comfreywharf.daemon.backend import Announcement
+from comfreywharf.daemon.servers.backend import Announcement
 from comfreywharf.membership.lives import Life
 from comfreywharf.ownership.hold_lists import HeldRange, ReleasedRange
 from comfreywharf.platform.durations import duration_s
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -7,11 +7,11 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.backend import Backend, CancelReply
-from comfreywharf.daemon.bound_pool import BoundClient
-from comfreywharf.daemon.http import SingleSendClient
-from comfreywharf.daemon.range_grants import Orders
-from comfreywharf.daemon.wire import Dialect, join_lines
+from comfreywharf.daemon.connections.bound_pool import BoundClient
+from comfreywharf.daemon.connections.http import SingleSendClient
+from comfreywharf.daemon.owning.range_grants import Orders
+from comfreywharf.daemon.requests.wire import Dialect, join_lines
+from comfreywharf.daemon.servers.backend import Backend, CancelReply
 from comfreywharf.ownership.holds import GrantAnswer
 from comfreywharf.platform.durations import duration_text
 from comfreywharf.routing import Reason
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -5,10 +5,10 @@
 from returns.result import Failure, Result, Success
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.caller_requests import CallerRequest, target_left_ms
-from comfreywharf.daemon.caller_stream import FrontLimits
-from comfreywharf.daemon.front import Answer
-from comfreywharf.daemon.ingress import BodySource
+from comfreywharf.daemon.requests.caller_requests import CallerRequest, target_left_ms
+from comfreywharf.daemon.requests.caller_stream import FrontLimits
+from comfreywharf.daemon.requests.front import Answer
+from comfreywharf.daemon.requests.ingress import BodySource
 from comfreywharf.records import NUMBER_KEYS, number_key
 from comfreywharf.routing import Reason
 from comfreywharf.transport.gen.ttypes import ForwardRequest, Header
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -4,7 +4,7 @@
 import orjson
 from absl import logging
 
-from comfreywharf.daemon.logclient import LogError, LogTruncated
+from comfreywharf.daemon.recording.logclient import LogError, LogTruncated
 from comfreywharf.platform.durations import duration_s
 from comfreywharf.routes import (
     CallerLimits,
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -6,7 +6,7 @@
 from gevent import pywsgi
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.http import NodelayHandler
+from comfreywharf.daemon.connections.http import NodelayHandler
 from comfreywharf.ownership.hold_lists import HoldReport, ListRoom
 from comfreywharf.platform.announcements import (
     DamagedReport,
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -5,17 +5,17 @@
 from gevent import pywsgi
 from geventhttpclient.response import HTTPParseError
 
-from comfreywharf.daemon.backend_life import BackendLife
-from comfreywharf.daemon.decisions import StdoutLines
-from comfreywharf.daemon.declaring import Declaring
-from comfreywharf.daemon.follower import ReadPace
-from comfreywharf.daemon.front import CallerServer
-from comfreywharf.daemon.grants_by_service import GrantsByService
-from comfreywharf.daemon.heartbeat_grants import HeartbeatGrants
-from comfreywharf.daemon.http import NodelayHandler, SingleSendClient
-from comfreywharf.daemon.operators import OperatorPort
+from comfreywharf.daemon.connections.http import NodelayHandler, SingleSendClient
+from comfreywharf.daemon.operating.decisions import StdoutLines
+from comfreywharf.daemon.operating.operators import OperatorPort
+from comfreywharf.daemon.owning.declaring import Declaring
+from comfreywharf.daemon.owning.grants_by_service import GrantsByService
+from comfreywharf.daemon.owning.heartbeat_grants import HeartbeatGrants
+from comfreywharf.daemon.owning.range_grants import RangeGrants
 from comfreywharf.daemon.ports import Ports
-from comfreywharf.daemon.range_grants import RangeGrants
+from comfreywharf.daemon.recording.follower import ReadPace
+from comfreywharf.daemon.requests.front import CallerServer
+from comfreywharf.daemon.servers.backend_life import BackendLife
 from comfreywharf.load import ConcurrencyLimit, NearFirst
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.fairqueue import RankedQueue
--- a/comfreywharf/platform/store.py
+++ b/comfreywharf/platform/store.py
@@ -8,8 +8,8 @@
 import orjson
 from geventhttpclient.response import HTTPParseError
 
-from comfreywharf.daemon.http import SingleSendClient
-from comfreywharf.daemon.logclient import (
+from comfreywharf.daemon.connections.http import SingleSendClient
+from comfreywharf.daemon.recording.logclient import (
     Batch,
     LogBusy,
     LogError,
--- a/comfreywharf/platform/tests/test_backends.py
+++ b/comfreywharf/platform/tests/test_backends.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import socket
 
-from comfreywharf.daemon.backend import BackendError
+from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.tests.builders import (
     Reply,
     ScriptedServer,
--- a/comfreywharf/platform/tests/test_relaying.py
+++ b/comfreywharf/platform/tests/test_relaying.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from comfreywharf.daemon.logclient import LogError
+from comfreywharf.daemon.recording.logclient import LogError
 from comfreywharf.platform.tests.builders import configuration, wait_for
 
 
--- a/comfreywharf/routes/tests/test_routes.py
+++ b/comfreywharf/routes/tests/test_routes.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from comfreywharf.daemon.routes import Routes
+from comfreywharf.daemon.requests.routes import Routes
 from comfreywharf.routes import Part, RouteTableError, Splitter, decode_table
 from comfreywharf.routes.codec import encode_table
 from comfreywharf.routes.tests.builders import make_route, make_table
--- a/comfreywharf_dev/bench/plain_client.py
+++ b/comfreywharf_dev/bench/plain_client.py
@@ -2,7 +2,7 @@
 
 from geventhttpclient import HTTPClient
 
-from comfreywharf.daemon.http import NodelayPool
+from comfreywharf.daemon.connections.http import NodelayPool
 
 __all__ = ["PlainClient"]
 
--- a/comfreywharf_dev/standins/fleet.py
+++ b/comfreywharf_dev/standins/fleet.py
@@ -11,15 +11,15 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.follower import Follower, new_record_id
-from comfreywharf.daemon.gossip import Gossip
-from comfreywharf.daemon.gossip_calls import GossipCalls
-from comfreywharf.daemon.logclient import LogClient
-from comfreywharf.daemon.notices import Notices
-from comfreywharf.daemon.peers import Peers
-from comfreywharf.daemon.reporter import Reporter
-from comfreywharf.daemon.routes import Routes
-from comfreywharf.daemon.snapshots import SnapshotWriter
+from comfreywharf.daemon.belonging.gossip import Gossip
+from comfreywharf.daemon.belonging.gossip_calls import GossipCalls
+from comfreywharf.daemon.belonging.notices import Notices
+from comfreywharf.daemon.belonging.peers import Peers
+from comfreywharf.daemon.operating.reporter import Reporter
+from comfreywharf.daemon.recording.follower import Follower, new_record_id
+from comfreywharf.daemon.recording.logclient import LogClient
+from comfreywharf.daemon.recording.snapshots import SnapshotWriter
+from comfreywharf.daemon.requests.routes import Routes
 from comfreywharf.records import ConfigPatched, NodeAnnounced, ServiceConfig
 from comfreywharf.settings.model import Address
 from comfreywharf.transport import PeerServer
