--- a/comfreywharf/daemon/operating/operators.py
+++ b/comfreywharf/daemon/operating/operators.py
@@ -7,7 +7,6 @@
 from absl import logging
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.connections.jsonport import BadInput, JsonPort, Reply
 from comfreywharf.daemon.operating.assignments import AssignmentReasons
 from comfreywharf.daemon.operating.diagnosis import diagnose
 from comfreywharf.daemon.operating.documents import (
@@ -19,6 +18,7 @@
     StatusDocument,
     Verdict,
 )
+from comfreywharf.daemon.operating.jsonport import BadInput, JsonPort, Reply
 from comfreywharf.daemon.operating.submissions import (
     patch_from_order,
     submission,
--- a/comfreywharf/daemon/operating/submissions.py
+++ b/comfreywharf/daemon/operating/submissions.py
@@ -3,12 +3,12 @@
 import attrs
 from returns.result import Failure
 
-from comfreywharf.daemon.connections.jsonport import BadInput
 from comfreywharf.daemon.operating.documents import (
     NOT_SENT,
     SubmissionDocument,
     Verdict,
 )
+from comfreywharf.daemon.operating.jsonport import BadInput
 from comfreywharf.daemon.operating.views import changed_since, configuration_at
 from comfreywharf.daemon.recording.follower import NotAcknowledged
 from comfreywharf.declarations import service_from_fields
--- a/comfreywharf/platform/tests/test_announcements.py
+++ b/comfreywharf/platform/tests/test_announcements.py
@@ -179,3 +179,41 @@
 
     assert post(port, Cut()) == 400
     assert told == []
+
+
+DAMAGED_RANGES = [
+    ("holds", None, "holds"),
+    ("holds", {}, "holds"),
+    ("holds", [[0, 1]], "holds[0]"),
+    ("holds", [[0, 1, 2, 3]], "holds[0]"),
+    ("holds", [[5, 4, 1]], "holds[0]"),
+    ("holds", [[0, 65536, 1]], "holds[0]"),
+    ("holds", [[-1, 5, 1]], "holds[0]"),
+    ("holds", [[True, 5, 1]], "holds[0]"),
+    ("holds", [[0, 5, 1], [6, 7, 2**63]], "holds[1]"),
+    ("holds", [[0, 5, "1"]], "holds[0]"),
+    ("holds", [[0, 0, 1]] * 100_000, "holds"),
+    ("released", [[0, 5, 7]], "released[0]"),
+    ("released", [[0, 5, "a b"]], "released[0]"),
+    ("released", "all", "released"),
+]
+
+
+@pytest.mark.parametrize(("name", "value", "place"), DAMAGED_RANGES)
+def test_a_damaged_range_is_told_by_its_place(name, value, place):
+    """Symptom: a node releases keys that nobody released, or grants under a fence that
+    no server may have.
+    Events: a report's lists have rows of another shape, out of range or without end."""
+    with pytest.raises(DamagedReport) as caught:
+        read_heartbeat("i-1", report(**{name: value}))
+    assert caught.value.field == place
+    assert len(str(caught.value)) < 300
+
+
+def test_what_a_server_holds_is_read():
+    """Rows overlap while it works on under an earlier grant; both count."""
+    rows = [[0, 99, 4], [0, 49, 6]]
+    said = read_heartbeat("i-1", report(holds=rows, released=[[100, 199, "5c0e"]]))
+    assert [(h.first, h.last, h.fence) for h in said.held] == [(0, 99, 4), (0, 49, 6)]
+    assert said.released[0].handover == "5c0e"
+    assert read_heartbeat("i-1", report()).held is None
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -8,6 +8,7 @@
 from comfreywharf.platform.durations import duration_s, duration_text
 from comfreywharf.platform.settings import read_boot_file
 from comfreywharf.platform.tests.builders import boot_text, configuration
+from comfreywharf.routes import GrantWay, decode_table, encode_table
 
 
 def read(tmp_path, text):
@@ -83,3 +84,35 @@
     """It names where the record lies; nothing else comes out of the reading."""
     with pytest.raises(ValueError):
         route_table(document)
+
+
+def test_each_service_has_a_way_of_granting():
+    """Orders where the configuration doesn't say otherwise."""
+    document = configuration()
+    document["services"]["booking"]["grants"] = "heartbeat"
+    table = route_table(orjson.dumps(document))
+    assert table.service("booking").grant_way is GrantWay.HEARTBEATS
+    assert table.service("stock").grant_way is GrantWay.ORDERS
+    assert decode_table(encode_table(table)) == table
+
+
+def test_an_unknown_way_of_granting_is_told_with_its_place():
+    """Symptom: no server of a service ever holds a key, and nothing says why.
+    Events: a configuration names a way that this version doesn't know."""
+    document = configuration()
+    document["services"]["booking"]["grants"] = "post"
+    with pytest.raises(ValueError, match=r"services\.booking\.grants: found 'post'"):
+        route_table(orjson.dumps(document))
+
+
+def test_a_hold_outlives_a_lost_heartbeat(tmp_path):
+    """Symptom: keys of a living server are dark for a moment each few minutes.
+    Events: one heartbeat or its answer is lost.
+    Cause: a lease that ends before the second next heartbeat."""
+    text = boot_text(grants="heartbeat").replace("heartbeat=200ms", "heartbeat=870ms")
+    settings = read(tmp_path, text).unwrap()
+    lease_s = settings.node.lease_ms / 1000
+    held_s = lease_s * (1 - settings.node.drift_per_mille / 1000) / 1.02
+    assert held_s > 2 * settings.heartbeat_interval_s
+    orders = read(tmp_path, boot_text()).unwrap()
+    assert orders.node.lease_ms == 1500
