Look at the likely hold first where a list is decided on

Cause: each range of a list was looked for among all holds, so that a heartbeat with 200 ranges cost 50 ms. The hold that begins at the range is looked at first, and what the server reports whole is compared as a whole.

--- a/comfreywharf/daemon/owning/heartbeat_grants.py
+++ b/comfreywharf/daemon/owning/heartbeat_grants.py
@@ -140,7 +140,8 @@
         """
         if not right.key_hash:
             return True
-        return self.book.has(right.service, right.key_hash, now_s)
+        place = right.slice_start
+        return self.book.has(right.service, right.key_hash, now_s, near=place)
 
     def refused(self, right):
         """Send no further request for a key that the server says it doesn't hold."""
--- a/comfreywharf/ownership/hold_lists.py
+++ b/comfreywharf/ownership/hold_lists.py
@@ -164,8 +164,9 @@
         if not self._same_line(sent, report):
             return False
         self.book.settle(report.service, report.connection, reported, now_s)
+        whole = {(held.first, held.last, held.fence) for held in report.held}
         return sent.timely and not all(
-            self._is_taken(wish, report, now_s) for wish in sent.wishes
+            self._is_taken(wish, report, whole, now_s) for wish in sent.wishes
         )
 
     @staticmethod
@@ -173,13 +174,15 @@
         """Return whether a report shows that the last list came."""
         return sent is not None and sent.connection == report.connection
 
-    def _is_taken(self, wish, report, now_s):
+    def _is_taken(self, wish, report, whole, now_s):
+        numbers = numbers_in(wish.start, wish.end)
+        if numbers is None or (*numbers, wish.fence) in whole:
+            return True
         if self.book.is_stopped((report.service, wish.start), wish.fence):
             return True
         if now_s >= wish.until_s:
             return True
-        numbers = numbers_in(wish.start, wish.end)
-        return numbers is None or any(
+        return any(
             held.fence == wish.fence
             and held.first <= numbers[1]
             and numbers[0] <= held.last
@@ -212,8 +215,10 @@
         if not all(self.book.has(report.service, w.start, now_s) for w in wishes):
             return True
         listed = self._sent.wishes if self._sent else ()
+        starts = {wish.start for wish in wishes}
         return any(
             now_s < old.until_s
+            and old.start not in starts
             and not any(w.start <= old.start < w.end for w in wishes)
             for old in listed
         )
@@ -281,13 +286,13 @@
             if name == service:
                 kept = self.book.kept(name, piece.start, piece.end, now_s)
                 wishes += [_Wish(*found, serving.lease_until_s) for found in kept]
-        held = [w for w in wishes if self.book.has(service, w.start, now_s)]
         longest_s = max((wish.until_s - now_s for wish in wishes), default=0.0)
-        others = [
-            wish
-            for wish in wishes
-            if wish not in held and wish.until_s - now_s >= LEAST_PART * longest_s
-        ]
+        held, others = [], []
+        for wish in wishes:
+            if self.book.has(service, wish.start, now_s):
+                held.append(wish)
+            elif wish.until_s - now_s >= LEAST_PART * longest_s:
+                others.append(wish)
         return held + others
 
 
--- a/comfreywharf/ownership/listed_holds.py
+++ b/comfreywharf/ownership/listed_holds.py
@@ -54,9 +54,12 @@
 
         ``reported`` are ranges of hashes: the first one, and the one behind the last.
         """
+        whole = set(reported)
         for hold in self._of(service):
             if hold.listed_until_s.pop(list_id, None) is not None:
                 self._handover_came((service, hold.start), hold)
+            if (hold.start, hold.end) in whole:
+                continue
             if hold.unheard_until_s > now_s or hold.asking:
                 continue
             if not any(hold.overlaps(start, end) for start, end in reported):
@@ -70,6 +73,7 @@
         """Take note of a range that an earlier process of this node granted."""
         self._highest_fence = max(self._highest_fence, fence)
         if now_s >= self.unknown_until_s:
+            # What it holds beyond that time this process granted itself.
             return
         if any(h.fence >= fence for h in self._overlapping(service, start, end)):
             return
@@ -90,14 +94,19 @@
             if hold.start <= value < hold.end:
                 hold.taken_until_s = NEVER_S
 
-    def has(self, service, value, now_s):
+    def has(self, service, value, now_s, near=None):
         """Return whether the server has a key for a while, under whatever fence.
 
         A hold ends with the lease that it rested on, so that nobody else has the key. A
         new fence for the same key comes with the next list, and changes nothing of it.
+        The hold that begins at ``near`` is looked at first: mostly it is the one.
         """
+        likely = self._holds.get((service, value if near is None else near))
+        ends_by_s = now_s + self.terms.shortest_s
+        if likely is not None and likely.gives_until_s(value) > ends_by_s:
+            return True
         ends_s = [hold.gives_until_s(value) for hold in self._of(service)]
-        return max(ends_s, default=NEVER_S) > now_s + self.terms.shortest_s
+        return max(ends_s, default=NEVER_S) > ends_by_s
 
     def kept(self, service, start, end, now_s):
         """Return ``(start, end, fence)`` of what the server has in a range for now."""
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -15,7 +15,7 @@
 )
 from comfreywharf.platform.durations import duration_text
 
-__all__ = ["LIST_ROOM", "HeartbeatPort"]
+__all__ = ["LIST_ROOM", "HeartbeatPort", "list_fields"]
 
 _CALL = re.compile(r"/-/instances/([^/]{1,128})/(heartbeat|deregister)")
 MAX_BODY_BYTES = 256 * 1024
@@ -89,14 +89,15 @@
             held=said.held,
             released=said.released,
         )
-        return _list_fields(self._node.grants.answer(report))
+        return list_fields(self._node.grants.answer(report))
 
     def _check_service(self, name):
         if name != self._service and self._node.routes.table.service(name) is None:
             raise DamagedReport("service", name, "a service that is configured")
 
 
-def _list_fields(hold_list):
+def list_fields(hold_list):
+    """Return the fields of the answer that carries a `HoldList`, or none of them."""
     if hold_list is None:
         return {}
     rows = [[row.first, row.last, row.fence, row.handover] for row in hold_list.rows]
--- /dev/null
+++ b/comfreywharf_dev/bench/list_cost.py
@@ -0,0 +1,80 @@
+"""What a heartbeat and its list of ranges cost, by the number of ranges.
+
+Every second range has a fence of its own, so that no two are one row; in ``_alike`` all
+have one fence and are neighbours.
+"""
+
+import time
+
+import orjson
+
+from comfreywharf.ownership.hold_lists import HoldLists, HoldReport, Serving
+from comfreywharf.ownership.holds import HoldTerms
+from comfreywharf.ownership.listed_holds import ListedHoldBook
+from comfreywharf.platform.announcements import read_heartbeat
+from comfreywharf.platform.heartbeats import LIST_ROOM, list_fields
+from comfreywharf.records import Slice, range_of_numbers
+from comfreywharf_dev.bench.figures import Figure
+
+__all__ = ["run"]
+
+SIZES = (20, 200, 2000)
+WIDTH = 32
+HEARTBEATS = 20
+LEASE_S = 2.0
+INTERVAL_S = 0.87
+HEARTBEAT = {
+    "service": "booking",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemaining": "0ms",
+    "sequence": 4,
+    "born": 1_000,
+    "released": [],
+}
+
+
+def run():
+    """Answer heartbeats of servers that hold so many ranges."""
+    figures = []
+    for size in SIZES:
+        for name, fences in (("", 2), ("_alike", 1)):
+            spent_s, length = _measure(size, fences)
+            label = f"{size}{name}"
+            value = 1000 * spent_s / HEARTBEATS
+            figures.append(Figure(name=f"answer_{label}", value=value, unit="ms"))
+            figures.append(Figure(name=f"bytes_{label}", value=length, unit="bytes"))
+    return figures
+
+
+def _measure(size, fences):
+    """Return the processor time of all heartbeats, and the last answer's bytes."""
+    lists = HoldLists(ListedHoldBook(HoldTerms(lease_s=LEASE_S, longest_s=10.0)))
+    lists.room = LIST_ROOM
+    held, answer = [], b""
+    began_s = time.process_time()
+    for number in range(HEARTBEATS):
+        now_s = number * INTERVAL_S
+        body = orjson.dumps({**HEARTBEAT, "holds": held})
+        said = read_heartbeat("i-1", body)
+        report = HoldReport(
+            service="booking", connection="c", arrived_s=now_s, held=said.held
+        )
+        lists.hear(report, now_s)
+        serving = _serving(size, fences, now_s + LEASE_S)
+        fields = list_fields(lists.decide(report, serving, now_s))
+        held = [row[:3] for row in fields["holds"]]
+        answer = orjson.dumps(fields)
+    return time.process_time() - began_s, len(answer)
+
+
+def _serving(size, fences, until_s):
+    served = []
+    for index in range(size):
+        start, end = range_of_numbers(index * WIDTH, (index + 1) * WIDTH - 1)
+        piece = Slice(start=start, end=end, owner="a")
+        served.append(("booking", piece, 10 + index % fences, until_s))
+    return Serving(served=tuple(served), pending=(), lease_until_s=until_s)
