Pass on the late answers of servers that check fences

Cause: an answer that came behind the request's own time was replaced by 'unknown, lease-lapsed', as for a node that slept through its lease. A server that checks fences answers only for what it held, and an answer that is there is to be delivered.

Where servers don't check fences nothing changes; the test shows both.

--- a/comfreywharf/daemon/owning/leases.py
+++ b/comfreywharf/daemon/owning/leases.py
@@ -181,8 +181,12 @@
         return self.holder.phase == "held"
 
     def still_held(self, right, now_s):
-        """Return whether an answer that arrived at ``now_s`` may be vouched for."""
-        return now_s <= right.deadline_s
+        """Return whether an answer that arrived at ``now_s`` may be vouched for.
+
+        A server that checks fences has answered for a key that it held, and its answer
+        is passed on however late it comes.
+        """
+        return self._node.ports.fenced or now_s <= right.deadline_s
 
     # The loop.
 
--- a/comfreywharf/daemon/tests/test_held_requests.py
+++ b/comfreywharf/daemon/tests/test_held_requests.py
@@ -45,3 +45,15 @@
     if leases.holder.lease.told_epoch() >= 5:
         return Right(service="booking")
     return Right(reason=Reason.NOT_YET_OWNER)
+
+
+@pytest.mark.parametrize("fenced", [True, False])
+def test_a_late_answer_of_a_server_that_checks_fences_is_passed_on(leases, fenced):
+    """Symptom: a caller hears that nobody knows what came of a booking that was made.
+    Events: the server's answer comes a moment behind the request's own time.
+    Cause: it was taken for the answer to a node that had slept through its lease, which
+    counts where servers don't check fences."""
+    leases._node.ports.fenced = fenced
+    right = Right(deadline_s=10.0)
+    assert leases.still_held(right, 9.9)
+    assert leases.still_held(right, 10.1) is fenced
