Answer a leaving server's heartbeats with lists until it gets no more work

Cause: the second heartbeat in which a server says that it leaves counted as stale, like one that was overtaken. That was right while only its first word mattered; with lists, a stale report is answered without one. A leaving server's ranges were then neither released nor renewed: each planned leave became a takeover 1.5 s later, without a handover, so that the next server was cold on all of its keys.

A heartbeat that says again that its server leaves has a word of its own now; the older test told it from an overtaken one by nothing, and tells both apart.

--- a/comfreywharf/membership/instances.py
+++ b/comfreywharf/membership/instances.py
@@ -18,14 +18,15 @@
 
     ``FIRST``: there was no living life before it; ``RIVAL``: it names another one than
     the living, which has to be verified; ``SAME``: the living one lives; ``LEAVES``:
-    the living one says for the first time that it leaves; ``STALE``: it is older than
-    what is known, or of a life that has ended.
+    the living one says for the first time that it leaves; ``LEAVING``: it says so
+    again; ``STALE``: it is older than what is known, or of a life that has ended.
     """
 
     FIRST = "first"
     RIVAL = "rival"
     SAME = "same"
     LEAVES = "leaves"
+    LEAVING = "leaving"
     STALE = "stale"
 
 
@@ -64,7 +65,9 @@
         if sequence <= self._sequence:
             return Word.STALE
         self._sequence = sequence
-        return self.leave(life) if leaving else Word.SAME
+        if not leaving:
+            return Word.SAME
+        return Word.LEAVING if self.leaving else self.leave(life)
 
     def _lies_behind(self, life, now_s):
         newest = self._newest.get(life.instance)
--- a/comfreywharf/membership/tests/test_instances.py
+++ b/comfreywharf/membership/tests/test_instances.py
@@ -15,6 +15,7 @@
     assert instances.hear(A, 1, False, NOW_S) is Word.FIRST
     assert instances.hear(A, 2, False, NOW_S) is Word.SAME
     assert instances.hear(A, 3, True, NOW_S) is Word.LEAVES
+    assert instances.hear(A, 4, True, NOW_S) is Word.LEAVING
     assert instances.hear(A, 4, True, NOW_S) is Word.STALE
 
 
--- a/comfreywharf/platform/tests/test_lists.py
+++ b/comfreywharf/platform/tests/test_lists.py
@@ -122,3 +122,37 @@
     one_holder(deployment, 1.0)
     wait_for(deployment.settled)
     assert deployment.ask("n3").status == 200
+
+
+def test_a_planned_move_waits_for_the_work_and_hands_over(deployment):
+    """Symptom: a key is given on while its last holder works on it, or is cold there.
+    Events: a server leaves while a request for one of its keys is at work.
+    Cause: a range that no list names counted as free, and the handover was lost."""
+    name = deployment.holder(7)
+    server = deployment.servers[name]
+    server.work_s = 0.6
+    asked = gevent.spawn(deployment.ask, "n3")
+    wait_for(lambda: server.works)
+    server.state = "draining"
+    while server.works:
+        others = [n for n in deployment.holders(7) if n != name]
+        assert others == []
+        gevent.sleep(0.01)
+    assert asked.get().status == 200
+    wait_for(lambda: deployment.holder(7) not in (None, name), 8)
+    taker = deployment.servers[deployment.holder(7)]
+    assert set(taker.taken_over) & set(server.handed_over)
+
+
+def test_a_server_behind_a_cut_loses_its_keys_by_their_time(deployment):
+    """Symptom: two servers hold a key, or none for good.
+    Events: a server's heartbeats don't come any more, and it lives.
+    Cause: its node counted it as dead, or as alive, for good."""
+    name = deployment.holder(7)
+    deployment.servers[name].mute = True
+    end_s = boottime_s() + 3.0
+    while boottime_s() < end_s:
+        assert len(deployment.holders(7)) <= 1
+        gevent.sleep(0.01)
+    deployment.servers[name].mute = False
+    wait_for(deployment.settled)
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -43,7 +43,6 @@
     last: int
     fence: int
     until_s: float
-    working: bool = False
 
 
 class PlatformServer:
@@ -54,7 +53,9 @@
     grants of all its lives, and ``misdirected`` counts the requests for keys that it
     didn't hold. While it is ``mute``, it sends no heartbeats. With ``by_lists`` it
     takes no orders, but what the answers to its heartbeats list; of these the next
-    ``lose_answers`` never reach it. ``taken_lists`` counts those that did.
+    ``lose_answers`` never reach it. ``taken_lists`` counts those that did. What is left
+    out of a list it holds until nothing is at work, and ``handed_over`` then lists its
+    tokens; ``taken_over`` has those that came with ranges.
     """
 
     def __init__(self, name, service, ledger, work_s=0.0, by_lists=False):
@@ -65,7 +66,10 @@
         self.by_lists = by_lists
         self.lose_answers = 0
         self.taken_lists = 0
+        self.handed_over = []
+        self.taken_over = []
         self._released = []
+        self._leaving = []
         self._line = None
         self.lose_grants = 0
         self.late_s = 0.2
@@ -109,6 +113,7 @@
         self._server.stop(timeout=0)
         self.held = []
         self._released = []
+        self._leaving = []
         self._leave_line()
         self._highest = [-1] * 65536
         self._sequence = 0
@@ -182,12 +187,20 @@
 
     def _holds_word(self):
         now_s = boottime_s()
-        held = [h for h in self.held if h.working or now_s < h.until_s]
+        if not self.works:
+            self._released += [self._handed_over(h) for h in self._leaving]
+            self._leaving = []
+        held = [h for h in self.held if now_s < h.until_s] + self._leaving
         return {
             "holds": [[h.first, h.last, h.fence] for h in held],
             "released": list(self._released),
         }
 
+    def _handed_over(self, held):
+        token = f"{self.instance}-{held.first}"
+        self.handed_over.append(token)
+        return [held.first, held.last, token]
+
     def _beat(self, port):
         while True:
             self._sequence += 1
@@ -220,7 +233,7 @@
         self._released = []
         if "holds" in answer:
             self._take_list(answer, sent_s)
-        return HEARTBEAT_S / 4 if self._released else HEARTBEAT_S
+        return HEARTBEAT_S / 4 if self._leaving else HEARTBEAT_S
 
     def _leave_line(self):
         line, self._line = self._line, None
@@ -232,19 +245,20 @@
         self.taken_lists += 1
         until_s = sent_s + duration_s(answer["hold_time"])
         listed = []
-        for first, last, fence, _ in answer["holds"]:
+        for first, last, fence, handover in answer["holds"]:
             if max(self._highest[first : last + 1]) > fence:
                 self.refused_grants += 1
                 continue
             self._highest[first : last + 1] = [fence] * (last - first + 1)
             listed.append(_Held(first, last, fence, until_s))
+            self.taken_over.append(handover)
             self.taken.append(Taken(self.life, first, last, fence))
         keys = {key for held in listed for key in range(held.first, held.last + 1)}
         for held in self.held:
             gone = [k for k in range(held.first, held.last + 1) if k not in keys]
             if gone and boottime_s() < held.until_s:
-                token = f"{self.instance}-{gone[0]}"
-                self._released.append([gone[0], gone[-1], token])
+                left = _Held(gone[0], gone[-1], held.fence, held.until_s)
+                self._leaving.append(left)
         self.held = listed
 
     def _answer(self, environ, start_response):
