--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -12,7 +12,7 @@
 from comfreywharf.membership.lives import Life
 from comfreywharf.platform.durations import duration_s
 
-__all__ = ["PlatformServer", "Run", "Taken", "post"]
+__all__ = ["HEARTBEAT_S", "PlatformServer", "Run", "Taken", "post"]
 
 HEARTBEAT_S = 0.2
 
@@ -66,6 +66,7 @@
         self.by_lists = by_lists
         self.lose_answers = 0
         self.taken_lists = 0
+        self.hold_s = 0.0
         self.handed_over = []
         self.taken_over = []
         self._released = []
@@ -243,7 +244,8 @@
     def _take_list(self, answer, sent_s):
         """Hold what is listed, for a time that counts from when it was asked for."""
         self.taken_lists += 1
-        until_s = sent_s + duration_s(answer["hold_time"])
+        self.hold_s = duration_s(answer["hold_time"])
+        until_s = sent_s + self.hold_s
         listed = []
         for first, last, fence, handover in answer["holds"]:
             if max(self._highest[first : last + 1]) > fence:
