Say once what the new code said twice

Cause: read once more as a newcomer. The part by which a server's clock runs slow stood in two modules; a route was looked up by two copies of the same lines; a turn on a caller's connection was both set on the request and handed round, and could be begun in two places; a list asked for what is served by lines of its own. Dead: a second look at the size of a head, before which nothing of it is known and which the first one covers; a filter on fences below zero; a pass-through; a second removal of a connection.

Before and after: no behaviour is meant to change, and no test is eased: one calls the book in place of the pass-through, and a fixture loses an argument that it never used.

Ran: formatter, linter and the tests without processes, all passed.

--- a/comfreywharf/daemon/owning/heartbeat_grants.py
+++ b/comfreywharf/daemon/owning/heartbeat_grants.py
@@ -43,7 +43,6 @@
         self._news = Event()
         self._heard = Event()
         self._answered_s = float("-inf")
-
         node.leases.subscribe(self._news.set)
 
     def look(self):
@@ -57,7 +56,7 @@
         self._heard.set()
         self._heard.clear()
         if refused and not self._node.closed_to_new_work:
-            self._refused(report)
+            self._leave_refused_fences(report)
         self._await_news(report)
         if self._newest is not report:
             # The server has asked again meanwhile: it waits for that answer.
@@ -67,7 +66,7 @@
         self._node.leases.renew_now(RENEWAL_WAIT_S)
         return self._decide(report)
 
-    def _refused(self, report):
+    def _leave_refused_fences(self, report):
         self._node.report(
             "ranges_refused", name=self._instance(), service=report.service
         )
@@ -115,12 +114,12 @@
         now_s = boottime_s()
         if not leases.holder.owns(now_s):
             return None
-        served = tuple(leases.table.serving(state, now_s))
+        served = self._served()
         if self.book.bars(fence for _, _, fence, _ in served):
             self._begin_anew("another life of the server")
             return None
         return Serving(
-            served=served,
+            served=tuple(served),
             pending=tuple(leases.table.pending(state, now_s)),
             lease_until_s=leases.holder.lease.until_s(),
         )
@@ -146,7 +145,7 @@
     def refused(self, right):
         """Send no further request for a key that the server says it doesn't hold."""
         if right.key_hash and boottime_s() > self._answered_s + SETTLING_S:
-            self.lists.doubt(right.service, right.key_hash)
+            self.book.doubt(right.service, right.key_hash)
             self._news.set()
 
     def _try_release(self, place, numbers, fence):
--- a/comfreywharf/daemon/requests/caller_stream.py
+++ b/comfreywharf/daemon/requests/caller_stream.py
@@ -145,12 +145,13 @@
             while not parse.head_done:
                 piece = self._take_head_piece()
                 read_bytes += len(piece)
-                self._check_size(parse, read_bytes)
+                if read_bytes > self._limits().header_bytes:
+                    raise BadRequest(431)
                 feed(parser, parse, piece)
         return Arrived(self, parse, _head(parse, parser), parser)
 
     def _take_head_piece(self):
-        """Return bytes up to the end of the head, or all but a part of that end."""
+        """Return the bytes up to the next empty line, which mostly ends the head."""
         while True:
             end = self._buffer.find(HEAD_END)
             if end >= 0:
@@ -159,14 +160,6 @@
                 raise BadRequest(431)
             self._buffer += self._receive()
 
-    def _check_size(self, parse, read_bytes):
-        limit = self._limits().header_bytes
-        if read_bytes > limit:
-            raise BadRequest(431)
-        size = sum(len(n) + len(v) + 4 for n, v in parse.headers)
-        if size + len(parse.url) > limit:
-            raise BadRequest(431)
-
     def take(self, size):
         """Return up to so many bytes that were received already."""
         data, self._buffer = self._buffer[:size], self._buffer[size:]
--- a/comfreywharf/daemon/requests/front.py
+++ b/comfreywharf/daemon/requests/front.py
@@ -127,13 +127,11 @@
             self.changed.clear()
             self.changed.wait()
 
-    def begin(self, request):
-        """Give a request its turn behind those before it."""
+    def begin(self):
+        """Return the `_Turn` of a further request, behind those before it."""
         turn = _Turn(self.last)
         self.last = turn
         self.running.add(turn)
-        if request is not None:
-            request.turn = turn
         return turn
 
     def end(self, turn):
@@ -212,9 +210,9 @@
 
     Requests that come behind one another are served at the same time, and answered in
     their order. One for which ``waits_for_others(head)`` is true is begun only once all
-    before it are answered. ``limits()`` returns the `FrontLimits` in
-    force. After `retire` the connections are closed behind the last answer; after
-    `refuse_new` no request is served.
+    before it are answered. ``limits()`` returns the `FrontLimits` in force. After
+    `retire` the connections are closed behind the last answer; after `refuse_new` no
+    request is served.
     """
 
     def __init__(self, host, port, application, limits, waits_for_others=None):
@@ -272,7 +270,6 @@
                 pass
             if connection.last is not None:
                 connection.last.done.wait()
-            self._connections.discard(connection)
             if connection.closing and not connection.was_cut:
                 connection.linger()
         except OSError as error:
@@ -289,19 +286,19 @@
             return False
         except BadRequest as error:
             bad = Answer(status=error.status)
-            self._answer_in_turn(connection, None, lambda: bad)
+            self._answer_in_turn(connection, None, lambda: bad, connection.begin())
             return False
         if connection.running and self._waits_for_others(request.head):
             connection.await_room(1)
         if not self._may_begin(connection):
             return False
-        turn = connection.begin(request)
+        turn = request.turn = connection.begin()
         if request.whole and request.head.keeps:
             gevent.spawn(self._answer, connection, request, turn)
             return True
         # The rest of its body, or nothing, follows on the connection.
         self._answer(connection, request, turn)
-        return not connection.closing
+        return True
 
     def _may_begin(self, connection):
         """Return whether a further request may be served.
@@ -321,8 +318,7 @@
 
         self._answer_in_turn(connection, request, ask, turn)
 
-    def _answer_in_turn(self, connection, request, ask, turn=None):
-        turn = turn or connection.begin(request)
+    def _answer_in_turn(self, connection, request, ask, turn):
         try:
             try:
                 answer = ask()
--- a/comfreywharf/daemon/tests/test_front.py
+++ b/comfreywharf/daemon/tests/test_front.py
@@ -39,9 +39,7 @@
 @pytest.fixture
 def server(application):
     limits = FrontLimits(header_bytes=1000, header_timeout_s=0.3, idle_timeout_s=0.6)
-    started = CallerServer(
-        "127.0.0.1", 0, application, lambda: limits, lambda head: head.method == "PUT"
-    )
+    started = CallerServer("127.0.0.1", 0, application, lambda: limits)
     started.start()
     yield started
     started.stop()
--- a/comfreywharf/ownership/hold_lists.py
+++ b/comfreywharf/ownership/hold_lists.py
@@ -183,20 +183,13 @@
         if now_s >= wish.until_s:
             return True
         return any(
-            held.fence == wish.fence
-            and held.first <= numbers[1]
-            and numbers[0] <= held.last
-            for held in report.held
+            held.fence == wish.fence and _meet(held, *numbers) for held in report.held
         )
 
     def release(self):
         """Answer the next heartbeat at once: a range is to be released."""
         self._release_wanted = True
 
-    def doubt(self, service, value):
-        """Take the server's word that it doesn't hold a key."""
-        self.book.doubt(service, value)
-
     def take_out_handover(self, start, end):
         """Return the newest handover of a range, and forget the others of it."""
         numbers = numbers_in(start, end)
@@ -296,8 +289,9 @@
         return held + others
 
 
-def _meet(released, first, last):
-    return released.first <= last and first <= released.last
+def _meet(one, first, last):
+    """Return whether a range of numbers has a part in those from first to last."""
+    return one.first <= last and first <= one.last
 
 
 def _joined(rows):
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -10,12 +10,22 @@
 
 import attrs
 
-__all__ = ["NOTHING_HELD_S", "GrantAnswer", "GrantOrder", "HoldBook", "HoldTerms"]
+__all__ = [
+    "NOTHING_HELD_S",
+    "SLOW_CLOCK",
+    "GrantAnswer",
+    "GrantOrder",
+    "HoldBook",
+    "HoldTerms",
+]
 
 NOTHING_HELD_S = float("-inf")
 """Until when a backend server holds anything that is proved dead. Where that time isn't
 known it is ``None``."""
 
+SLOW_CLOCK = 0.02
+"""By which part a backend server's clock may run slow."""
+
 
 class GrantAnswer(Enum):
     """What came back for a grant.
@@ -43,7 +53,7 @@
 
     lease_s: float
     longest_s: float
-    slow_clock: float = 0.02
+    slow_clock: float = SLOW_CLOCK
     renew_part: float = 0.4
     shortest_s: float = 0.05
 
--- a/comfreywharf/ownership/listed_holds.py
+++ b/comfreywharf/ownership/listed_holds.py
@@ -111,7 +111,7 @@
     def kept(self, service, start, end, now_s):
         """Return ``(start, end, fence)`` of what the server has in a range for now."""
         found = []
-        holds = [h for h in self._overlapping(service, start, end) if h.fence >= 0]
+        holds = self._overlapping(service, start, end)
         for hold in sorted(holds, key=lambda hold: -hold.fence):
             first, behind = max(start, hold.start), min(end, hold.end)
             if hold.taken_until_s <= now_s or hold.fence <= self._used_fence:
--- a/comfreywharf/ownership/tests/test_hold_lists.py
+++ b/comfreywharf/ownership/tests/test_hold_lists.py
@@ -167,7 +167,7 @@
     lists.decide(report(), serving(a_slice()), NOW_S)
     assert not lists.has_news(report(), serving(a_slice(), fence=12), NOW_S + 0.1)
     assert lists.has_news(report(), serving(), NOW_S + 0.1)
-    lists.doubt("booking", range_of_numbers(5, 5)[0] + 1)
+    lists.book.doubt("booking", range_of_numbers(5, 5)[0] + 1)
     assert lists.has_news(report(), serving(a_slice()), NOW_S + 0.1)
 
 
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -69,10 +69,13 @@
         One that mustn't run twice is begun only where nothing before it can break its
         connection off.
         """
-        path = head.target.partition("?")[0]
-        route = self._node.routes.table.find(_host_name(head), path)
+        route = self._route(head)
         return route is None or not route.repeatable
 
+    def _route(self, head):
+        path = head.target.partition("?")[0]
+        return self._node.routes.table.find(_host_name(head), path)
+
     def __call__(self, head, connection):
         """Return the `Answer` to one request."""
         now_s = boottime_s()
@@ -100,8 +103,7 @@
             and _ID.fullmatch(request_id)
         ):
             return Failure(Reason.BAD_REQUEST)
-        path = head.target.partition("?")[0]
-        route = routes.table.find(_host_name(head), path)
+        route = self._route(head)
         if route is None:
             return Failure(Reason.UNKNOWN_SERVICE)
         left_ms = _left_ms(head, route)
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -132,7 +132,6 @@
         terms = HoldTerms(
             lease_s=settings.node.lease_ms / 1000,
             longest_s=settings.longest_hold_s,
-            slow_clock=settings.slow_clock,
         )
         book = ListedHoldBook.of_new_process(terms, node.began_s)
         interval_s = settings.heartbeat_interval_s
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -6,6 +6,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from comfreywharf.ownership.holds import SLOW_CLOCK
 from comfreywharf.platform.configuration import GRANT_WAYS
 from comfreywharf.platform.durations import duration_s
 from comfreywharf.routes import GrantWay
@@ -26,9 +27,6 @@
 HOLD_MARGIN_S = 0.15
 """By which a heartbeat may come later than its interval, with its answer."""
 
-SLOW_CLOCK = 0.02
-"""By which part a backend server's clock may run slow."""
-
 DRIFT_PER_MILLE = 25
 """Backend servers' clocks may run 2% slow; the rest is for the machines' own."""
 
@@ -55,7 +53,6 @@
     retry_fraction: float
     store_writes_per_s: float
     store_reads_per_s: float
-    slow_clock: float = SLOW_CLOCK
 
 
 class _Fields:
