Tell how old a node's routes are, who brought them, and how late its loop is

Only the age of the log's records was carried between nodes, not that of the routes, which are another topic; routes taken from a peer left no line; a relay that was given up left none; a 404 left none; nothing said whether the event loop or the link was late. Ruled out: nothing, the lines are for that. No decision changes: the age is carried and told, not acted on.

--- a/comfreywharf/daemon/belonging/gossip.py
+++ b/comfreywharf/daemon/belonging/gossip.py
@@ -115,7 +115,8 @@
             event_clock=0,
             routes_version=node.routes.version,
             routes=node.routes.document_after(request.routes_version),
-            log_age_ms=self._log_age_ms(now_s),
+            log_age_ms=_age_ms(now_s - node.follower.confirmed_s),
+            routes_age_ms=_age_ms(node.routes.age_s(now_s)),
         )
 
     def _await_news(self, request, until_s):
@@ -133,10 +134,6 @@
         self._heard.set()
         self._heard.clear()
 
-    def _log_age_ms(self, now_s):
-        age_s = now_s - self._node.follower.confirmed_s
-        return -1 if age_s > LONGEST_AGE_S else max(0, math.ceil(age_s * 1000))
-
     def reach_all(self):
         """Return the members that answer an exchange now, or soon enough."""
         asked = {}
@@ -278,8 +275,7 @@
         timeout_s = wait_s + LISTEN_MARGIN_S if wait_s else EXCHANGE_TIMEOUT_S
         reply = client.call("exchange", request, timeout_s=timeout_s)
         node.notices.receive(reply.notices, boottime_s())
-        if reply.routes:
-            node.routes.take(reply.routes)
+        self._take_routes(reply, client, sent_s)
         advanced = self._take(reply.records)
         if reply.log_age_ms >= 0 and node.follower.knows(reply.next_offset):
             # The peer's fold was the log's this long before it answered, which
@@ -287,6 +283,21 @@
             node.follower.confirm(sent_s - reply.log_age_ms / 1000)
         return reply, advanced
 
+    def _take_routes(self, reply, client, sent_s):
+        """Use a peer's routes if they are newer; note until when they were the newest.
+
+        The age that it tells counts from its answer, which came after the question.
+        """
+        routes = self._node.routes
+        if reply.routes and routes.take(reply.routes):
+            self._node.report(
+                "routes_in_force",
+                version=routes.version,
+                source=f"{client.host}:{client.port}",
+            )
+        if reply.routes_age_ms >= 0 and routes.version >= reply.routes_version:
+            routes.confirm(sent_s - reply.routes_age_ms / 1000)
+
     def _take(self, records):
         """Fold a peer's records, or its snapshot; return whether any was new."""
         follower = self._node.follower
@@ -300,3 +311,8 @@
         if assembler.newest is not None:
             advanced |= follower.load(assembler.newest)
         return advanced
+
+
+def _age_ms(age_s):
+    """Return an age as a message carries it: -1 where nothing was ever confirmed."""
+    return -1 if age_s > LONGEST_AGE_S else max(0, math.ceil(age_s * 1000))
--- a/comfreywharf/daemon/belonging/relaying.py
+++ b/comfreywharf/daemon/belonging/relaying.py
@@ -28,15 +28,23 @@
         while relay_id := self._relays.choose(members, boottime_s()):
             if self._hear(relay_id, members):
                 return True
-            self._relays.failed(relay_id, boottime_s())
         return False
 
     def _hear(self, relay_id, members):
         client = self._node.peers.client(relay_id)
         if client is None:
-            return False
+            return self._avoid(relay_id, "no address")
         try:
             age_s = self._node.gossip.listen(client, WAIT_S)
-        except CallError:
-            return False
-        return age_s is not None and self._relays.is_fresh(members, relay_id, age_s)
+        except CallError as error:
+            return self._avoid(relay_id, str(error))
+        if age_s is None:
+            return self._avoid(relay_id, "lacks records")
+        if not self._relays.is_fresh(members, relay_id, age_s):
+            return self._avoid(relay_id, f"news {age_s:.3f} s old")
+        return True
+
+    def _avoid(self, relay_id, why):
+        self._relays.failed(relay_id, boottime_s())
+        self._node.report("relay_avoided", relay=relay_id, why=why)
+        return False
--- a/comfreywharf/daemon/operating/decisions.py
+++ b/comfreywharf/daemon/operating/decisions.py
@@ -6,7 +6,10 @@
 from comfreywharf.events.decisions import DecisionLog, is_sampled
 from comfreywharf.routing import Outcome
 
-__all__ = ["Decisions", "StdoutLines", "no_lines"]
+__all__ = ["NEVER_AGE_S", "Decisions", "StdoutLines", "no_lines"]
+
+NEVER_AGE_S = 3600.0
+"""What is told as an age where nothing was ever confirmed."""
 
 MAX_LINE_BYTES = 4096
 """Up to this length a write to a pipe is whole or not at all (pipe(7))."""
@@ -65,9 +68,17 @@
         kind = "refused" if reply.outcome == Outcome.NOT_RUN else "unknown"
         facts["reason"] = reply.reason
         facts["retry_after_ms"] = reply.retry_after_ms
-        facts["routes_version"] = self._node.routes.version
+        facts |= self._routes_belief(now_s)
         self._log.tell(now_s, request.request_id, kind, **facts, **self._belief(now_s))
 
+    def turned_away(self, request_id, reply, now_s):
+        """Tell of a request that was refused for what it says."""
+        if not self.enabled:
+            return
+        facts = {"status": reply.status, "reason": reply.reason}
+        facts |= self._routes_belief(now_s)
+        self._log.tell(now_s, request_id, "turned_away", **facts)
+
     def step(self, call, decision, reply, target, ownership):
         """Tell where a request goes after a refusal."""
         if not self.enabled:
@@ -127,9 +138,14 @@
             deadline_left_ms=round((running.deadline_s - now_s) * 1000),
         )
 
+    def _routes_belief(self, now_s):
+        routes = self._node.routes
+        age_ms = round(min(routes.age_s(now_s), NEVER_AGE_S) * 1000)
+        return {"routes_version": routes.version, "routes_age_ms": age_ms}
+
     def _belief(self, now_s):
         follower = self._node.follower
-        age_s = min(now_s - follower.confirmed_s, 3600.0)
+        age_s = min(now_s - follower.confirmed_s, NEVER_AGE_S)
         return {
             "fold": follower.state.next_offset,
             "fold_age_ms": round(age_s * 1000),
--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -3,6 +3,7 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.operating.decisions import NEVER_AGE_S
 from comfreywharf.metrics import Gauges, render
 from comfreywharf.records import key_hash
 from comfreywharf.routing import Outcome, Reason
@@ -10,9 +11,6 @@
 __all__ = ["Meter"]
 
 SAMPLE_S = 0.25
-NEVER_AGE_S = 3600.0
-"""What is told as the fold's age where the log never confirmed it."""
-
 _UNSERVED = frozenset(
     reason.value
     for reason in (
@@ -65,7 +63,7 @@
         self._metrics.request_ended(service, outcome, reply.reason, duration_s)
 
     def run(self):
-        """Add up the time without a lease, until killed."""
+        """Add up the time without a lease and watch the event loop, until killed."""
         sampled_s = boottime_s()
         while True:
             gevent.sleep(SAMPLE_S)
@@ -73,6 +71,7 @@
             if not self._node.leases.holder.owns(now_s):
                 for service, count in self._node.ownership.owned.items():
                     self._metrics.slices_unavailable(service, count, now_s - sampled_s)
+            self._metrics.loop_woke(now_s - sampled_s - SAMPLE_S)
             sampled_s = now_s
 
     def scrape(self, accept):
@@ -98,4 +97,5 @@
             fold_age_s=min(now_s - node.follower.confirmed_s, NEVER_AGE_S),
             config_version=node.follower.state.config.version,
             routes_version=node.routes.version,
+            routes_age_s=min(node.routes.age_s(now_s), NEVER_AGE_S),
         )
--- a/comfreywharf/daemon/recording/follower.py
+++ b/comfreywharf/daemon/recording/follower.py
@@ -10,7 +10,11 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.recording.appender import Appender, NotAcknowledged
-from comfreywharf.daemon.recording.logclient import LogError, LogTruncated
+from comfreywharf.daemon.recording.logclient import (
+    LogError,
+    LogTruncated,
+    known_at_s,
+)
 from comfreywharf.daemon.recording.snapshots import begin_anew, read_newest
 from comfreywharf.records.appends import Backoff, Priority
 from comfreywharf.records.replica import Replica
@@ -18,9 +22,6 @@
 __all__ = ["Follower", "NotAcknowledged", "ReadPace", "new_record_id"]
 
 MAX_RETRY_S = 2.0
-WAITED_PART = 0.9
-"""How much of the wait that was asked for an empty answer is sure to have waited."""
-
 GAP_PATIENCE_S = 4.0
 """Longer than a lease and several exchanges between peers together."""
 
@@ -279,9 +280,7 @@
             self.take(start + index, data)
         if self.replica.reached(batch.next):
             self.caught_up.set()
-            # An empty answer says that there was nothing until the wait was over.
-            waited_s = 0.0 if batch.records else WAITED_PART * wait_ms / 1000
-            self.confirm(sent_s + waited_s)
+            self.confirm(known_at_s(sent_s, wait_ms / 1000, bool(batch.records)))
 
     def _report_gap(self, first):
         if not self.gap:
--- a/comfreywharf/daemon/recording/logclient.py
+++ b/comfreywharf/daemon/recording/logclient.py
@@ -7,12 +7,35 @@
 
 from comfreywharf.daemon.connections.http import SingleSendClient
 
-__all__ = ["Batch", "LogBusy", "LogClient", "LogError", "LogTraffic", "LogTruncated"]
+__all__ = [
+    "Batch",
+    "LogBusy",
+    "LogClient",
+    "LogError",
+    "LogTraffic",
+    "LogTruncated",
+    "known_at_s",
+]
 
 DEFAULT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 CONCURRENCY = 8
 
+WAITED_FRACTION = 0.9
+"""How much of the wait that was asked for an empty answer is sure to have waited."""
+
+
+def known_at_s(sent_s, wait_s, has_records):
+    """Return a time at which the answer to a read held all that there was.
+
+    ``sent_s`` is when the read was sent and ``wait_s`` how long it was to wait for a
+    record. An empty answer says that there was none until the wait was over.
+
+    >>> known_at_s(10.0, 1.0, has_records=True), known_at_s(10.0, 1.0, False)
+    (10.0, 10.9)
+    """
+    return sent_s if has_records else sent_s + WAITED_FRACTION * wait_s
+
 
 class LogError(Exception):
     """The log service gave no usable answer; an append may have taken effect."""
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -79,10 +79,11 @@
         request_id = request.request.request_id
         return _respond(start_response, environ, reply, request_id, parts)
 
-    def refuse(self, reason, now_s):
+    def refuse(self, reason, now_s, request_id=""):
         """Return the reply to a request that isn't one."""
         reply = refusal(reason)
         self._node.meter.refused_at_once(reply, now_s)
+        self._node.decisions.turned_away(request_id, reply, now_s)
         return reply
 
     def serve(self, parsed, source, sock, now_s):
--- a/comfreywharf/daemon/requests/routes.py
+++ b/comfreywharf/daemon/requests/routes.py
@@ -28,12 +28,21 @@
         self._document = b""
         self._services = {}
         self._listeners = []
+        self._confirmed_s = float("-inf")
 
     @property
     def version(self):
         """Return the version in force; 0 while none is known."""
         return self.table.version
 
+    def confirm(self, then_s):
+        """Take note that these routes were the operator's newest at a time."""
+        self._confirmed_s = max(self._confirmed_s, then_s)
+
+    def age_s(self, now_s):
+        """Return for how long these routes may have been out of date."""
+        return max(0.0, now_s - self._confirmed_s)
+
     def subscribe(self, listener):
         """Call ``listener(table)`` after each change."""
         self._listeners.append(listener)
--- a/comfreywharf/events/decisions.py
+++ b/comfreywharf/events/decisions.py
@@ -24,6 +24,7 @@
     "answered": "the caller got the backend server's answer",
     "refused": "the caller was told that its request didn't run",
     "unknown": "the caller was told that its request may have run",
+    "turned_away": "it was refused for what it says, such as an unknown route",
     "held": "the request waits until its key has an owner",
     "sent_again": "a node refused it, and another one is asked",
     "given_up": "nobody else is asked",
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -160,5 +160,19 @@
             "fold-lag",
             "Version of the routes in force here; 0 where there are none",
         ),
+        _family(
+            "routes_age_seconds",
+            _G,
+            "",
+            "fold-lag",
+            "For how long the routes in force here may have been out of date",
+        ),
+        _family(
+            "loop_late_seconds",
+            _H,
+            "",
+            "latency",
+            "How much later than due the event loop woke a greenlet that sleeps",
+        ),
     )
 }
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -49,6 +49,7 @@
     fold_age_s: float
     config_version: int
     routes_version: int
+    routes_age_s: float
 
 
 class Metrics:
@@ -64,6 +65,7 @@
         self.slices_moved = defaultdict(int)
         self.backend_requests = defaultdict(int)
         self.events = defaultdict(int)
+        self.lateness = Buckets()
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty where it is unknown."""
@@ -90,6 +92,10 @@
         """Add time in which owned slices couldn't be served."""
         self.owner_unavailable_s[service] += slices * duration_s
 
+    def loop_woke(self, late_s):
+        """Count a wake-up of the event loop, and by how much it came late."""
+        self.lateness.add(max(0.0, late_s))
+
     def event_reported(self, name, severity):
         """Count an event, also one that is held back from log and ring."""
         self.events[name, severity] += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -84,6 +84,8 @@
         "fold_age_seconds": _only(gauges.fold_age_s),
         "config_version": _only(gauges.config_version),
         "routes_version": _only(gauges.routes_version),
+        "routes_age_seconds": _only(gauges.routes_age_s),
+        "loop_late_seconds": _only(metrics.lateness),
     }
 
 
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -22,6 +22,7 @@
     fold_age_s=0.3,
     config_version=2,
     routes_version=7,
+    routes_age_s=0.2,
 )
 
 SAMPLE = re.compile(r'[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? [0-9.e+-]+')
@@ -37,6 +38,7 @@
     metrics.slices_unavailable(service, 5, 0.25)
     metrics.slices_changed(service, True, 5)
     metrics.backend_asked(service)
+    metrics.loop_woke(0.003)
     metrics.event_reported("lease_lapsed", "warning")
     return metrics
 
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -40,6 +40,8 @@
 _METHOD = re.compile(r"[A-Z]{1,20}")
 
 MIN_LEFT_MS = 1
+MAX_TOLD_ID = 128
+"""How many characters of a request's id are logged where it may be nonsense."""
 
 ANSWER_MARGIN_MS = 40
 """How long before its caller stops waiting a request is given up: the answer has
@@ -81,7 +83,8 @@
         now_s = boottime_s()
         parsed = self._parse(head)
         if isinstance(parsed, Failure):
-            reply = self._node.ingress.refuse(parsed.failure(), now_s)
+            request_id = head.get("x-attempt-id", "")[:MAX_TOLD_ID]
+            reply = self._node.ingress.refuse(parsed.failure(), now_s, request_id)
             return _answer(reply, None, head)
         source = BodySource(
             coding="chunked" if head.length < 0 else None,
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -4,7 +4,12 @@
 import orjson
 from absl import logging
 
-from comfreywharf.daemon.recording.logclient import LogError, LogTruncated
+from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.recording.logclient import (
+    LogError,
+    LogTruncated,
+    known_at_s,
+)
 from comfreywharf.platform.durations import duration_s
 from comfreywharf.routes import (
     CallerLimits,
@@ -125,19 +130,24 @@
                 gevent.sleep(PAUSE_S)
 
     def _read_newest(self):
+        sent_s = boottime_s()
         newest = self._store.newest(TOPIC)
         document = newest.values.get(KEY)
         if document:
             self._use(document)
         self._next = newest.end
+        self._routes.confirm(sent_s)
 
     def _read_on(self):
+        sent_s = boottime_s()
         found = self._store.read(TOPIC, self._next, WAIT_S)
         for record in found.data:
             size = record[0] if record else 0
             if record[1 : 1 + size] == KEY.encode():
                 self._use(record[1 + size :])
         self._next += len(found.data)
+        if self._next >= found.end:
+            self._routes.confirm(known_at_s(sent_s, WAIT_S, bool(found.data)))
 
     def _use(self, document):
         try:
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -2203,6 +2203,7 @@
      - routes_version
      - routes
      - log_age_ms
+     - routes_age_ms
 
     """
 
@@ -2214,10 +2215,11 @@
         'routes_version',
         'routes',
         'log_age_ms',
+        'routes_age_ms',
     )
 
 
-    def __init__(self, next_offset=None, records=None, notices=None, event_clock=None, routes_version=None, routes=None, log_age_ms=None,):
+    def __init__(self, next_offset=None, records=None, notices=None, event_clock=None, routes_version=None, routes=None, log_age_ms=None, routes_age_ms=None,):
         self.next_offset = next_offset
         self.records = records
         self.notices = notices
@@ -2225,6 +2227,7 @@
         self.routes_version = routes_version
         self.routes = routes
         self.log_age_ms = log_age_ms
+        self.routes_age_ms = routes_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2282,6 +2285,11 @@
                     self.log_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.routes_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2326,6 +2334,10 @@
             oprot.writeFieldBegin('log_age_ms', TType.I32, 7)
             oprot.writeI32(self.log_age_ms)
             oprot.writeFieldEnd()
+        if self.routes_age_ms is not None:
+            oprot.writeFieldBegin('routes_age_ms', TType.I32, 8)
+            oprot.writeI32(self.routes_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2344,6 +2356,8 @@
             raise TProtocolException(message='Required field routes is unset!')
         if self.log_age_ms is None:
             raise TProtocolException(message='Required field log_age_ms is unset!')
+        if self.routes_age_ms is None:
+            raise TProtocolException(message='Required field routes_age_ms is unset!')
         return
 
     def __repr__(self):
@@ -3046,6 +3060,7 @@
     (5, TType.I64, 'routes_version', None, None, ),  # 5
     (6, TType.STRING, 'routes', 'BINARY', None, ),  # 6
     (7, TType.I32, 'log_age_ms', None, None, ),  # 7
+    (8, TType.I32, 'routes_age_ms', None, None, ),  # 8
 )
 all_structs.append(SliceLoad)
 SliceLoad.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -160,7 +160,8 @@
   4: required i64 event_clock,
   5: required i64 routes_version,
   6: required binary routes,           // where the asker's are older, else empty
-  7: required i32 log_age_ms           // since the log confirmed the fold; -1: never
+  7: required i32 log_age_ms,          // since the log confirmed the fold; -1: never
+  8: required i32 routes_age_ms        // the same of the routes
 }
 
 struct SliceLoad {
