--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -47,6 +47,7 @@
 terms.bounds.drain=2000ms
 terms.bounds.grace=6s
 terms.bounds.maxHold=10000ms
+terms.bounds.configApply=2000ms
 terms.bounds.retryBudgetRatio=0.2
 new.field=ignored
 """
--- /dev/null
+++ b/comfreywharf/platform/tests/test_outdated_routes.py
@@ -0,0 +1,28 @@
+"""What a node says of routes that it doesn't know while its own may be old."""
+
+from comfreywharf.clock import boottime_s
+from comfreywharf.platform.tests.builders import wait_for
+
+APPLY_S = 2.0
+"""Within which a change of the routes is in force, as the settings file says."""
+
+
+def test_an_unknown_route_is_refused_for_good_only_by_current_routes(deployment):
+    """Guards against a final 404 by routes that are older than a change may take."""
+    routes = deployment.nodes["n0"].routes
+    assert deployment.ask("n0", "/added/1").status == 404
+    deployment.store.fault = "busy"
+    wait_for(lambda: routes.age_s(boottime_s()) > APPLY_S)
+    answer = deployment.ask("n0", "/added/1")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    deployment.store.fault = ""
+    wait_for(lambda: deployment.ask("n0", "/added/1").status == 404)
+
+
+def test_known_routes_are_served_while_the_store_is_away(deployment):
+    """Guards against an outage of the store that ends service."""
+    routes = deployment.nodes["n0"].routes
+    deployment.store.fault = "busy"
+    wait_for(lambda: routes.age_s(boottime_s()) > APPLY_S)
+    assert deployment.ask("n0", "/look/1", key=7).status == 200
--- a/comfreywharf/platform/tests/test_relaying.py
+++ b/comfreywharf/platform/tests/test_relaying.py
@@ -2,6 +2,7 @@
 
 from unittest import mock
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.recording.logclient import LogError
 from comfreywharf.platform.tests.builders import configuration, wait_for
 
@@ -45,3 +46,22 @@
         deployment.store.put("keyed.op", "config", configuration(version=4))
         nodes = deployment.nodes.values()
         wait_for(lambda: all(node.routes.version == 4 for node in nodes))
+
+
+def test_a_reader_whose_reads_of_the_routes_fail_is_passed_over(deployment):
+    """Guards against old routes of a relay that still reads the log's records."""
+    wait_for(lambda: reader(deployment))
+    blind = deployment.nodes[reader(deployment)]
+    others = [node for node in deployment.nodes.values() if node is not blind]
+    read = blind.ports.store.read
+
+    def read_records_only(topic, *arguments):
+        if topic == "keyed.op":
+            raise LogError("no answer")
+        return read(topic, *arguments)
+
+    with mock.patch.object(blind.ports.store, "read", read_records_only):
+        wait_for(lambda: blind.routes.age_s(boottime_s()) > 1.0)
+        deployment.configure(4)
+        wait_for(lambda: all(node.routes.version == 4 for node in others))
+    assert blind.follower.reachable
