Send the body of an upload once its owner's node wants it

What callers saw: two thirds of the lookups failed and one upload in twenty was in time; versions of the routes came into force up to 9.7 s late at nodes beside session-vault, and a request was passed on 1.7 s after its caller had left. Cause: a body of up to 256 KB travelled inside its request, before admission at the owner's node had decided on it, and again to each further node after a refusal. The links of the few nodes whose servers take uploads carried bodies that nobody wanted any more; renewals, news of the log, connections to the store and inner calls waited behind them. Ruled out: a late event loop (0.02 s at most beside trainee-ledger in a trial); a starved processor (0.10 of a core in use). How it works: the request goes first; the call that opens the upload returns once the owner has a slot for it, or has refused it, and the body follows only in the first case. A body of moderate length is collected whole before the server is asked, so that one that breaks off is known not to have run. Left: the slot is held while the body is on its way.

--- a/comfreywharf/daemon/requests/bodies.py
+++ b/comfreywharf/daemon/requests/bodies.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "PART_BYTES",
+    "WHOLE_BODY_BYTES",
     "BodyError",
     "CallerBody",
     "Streams",
@@ -17,6 +18,9 @@
 ]
 
 PART_BYTES = 64 * 1024
+WHOLE_BODY_BYTES = 256 * 1024
+"""A body up to this length is kept whole; of a longer one, a part at a time."""
+
 IDLE_LIMIT_S = 30.0
 
 
@@ -109,14 +113,21 @@
     """A body on its way from the ingress node to the backend server.
 
     A part is taken from the ingress node only when there is room for it, and
-    there is room for one: this is the backpressure.
+    there is room for one: this is the backpressure. None is sent before the first
+    one is asked for.
     """
 
     def __init__(self):
         self._parts = Queue(maxsize=1)
         self._first = []
+        self._asked_or_finished = gevent.event.Event()
         self.finished = gevent.event.AsyncResult()
 
+    def await_demand(self):
+        """Wait until the body is wanted; false if it was decided on without it."""
+        self._asked_or_finished.wait()
+        return not self.finished.ready()
+
     def put(self, part):
         """Pass on a part, or the end (``None``); false if no more is wanted."""
         if self.finished.ready():
@@ -130,6 +141,7 @@
     def finish(self, served):
         """Set the result and let go of a part that is waiting to be taken."""
         self.finished.set(served)
+        self._asked_or_finished.set()
         while not self._parts.empty():
             self._parts.get_nowait()
 
@@ -143,10 +155,18 @@
         while (part := self._take()) is not None:
             yield part
 
+    def read_whole(self, size_bytes):
+        """Return a body of a known length; `BodyError` if it isn't that long."""
+        data = b"".join(self)
+        if len(data) != size_bytes:
+            raise BodyError(Reason.CALLER_GONE)
+        return data
+
     def _take(self):
         return self._first.pop() if self._first else self._next()
 
     def _next(self):
+        self._asked_or_finished.set()
         try:
             return self._parts.get(timeout=IDLE_LIMIT_S)
         except Empty as error:
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -7,6 +7,7 @@
 from comfreywharf.daemon.requests.bodies import PART_BYTES, BodyError
 from comfreywharf.daemon.requests.caller_requests import target_left_ms
 from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.requests.uploads import is_inline, send_upload
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.records import key_hash
 from comfreywharf.routing import (
@@ -240,11 +241,11 @@
     def _call(self, client, call):
         timeout_s = call.request.remaining_ms / 1000 + HOP_MARGIN_S
         try:
-            if isinstance(call.body, bytes):
+            if is_inline(call.body):
                 call.request.body = call.body
                 reply = client.call("forward", call.request, timeout_s=timeout_s)
             else:
-                reply = self._upload(client, call, timeout_s)
+                reply = send_upload(client, call, timeout_s)
         except CallError as error:
             return self._call_failed(call, error), None
         if reply.stream_id:
@@ -262,21 +263,6 @@
             return refusal(Reason.DEADLINE_PASSED)
         return refusal(Reason.PEER_LOST)
 
-    def _upload(self, client, call, timeout_s):
-        stream_id = client.call("open_upload", call.request, timeout_s=timeout_s)
-        try:
-            for part in call.body:
-                wanted = client.call(
-                    "write_upload", stream_id, part, timeout_s=timeout_s
-                )
-                if not wanted:
-                    call.body.push_back(part)
-                    break
-            return client.call("finish_upload", stream_id, timeout_s=timeout_s)
-        except CallError as error:
-            # The upload was opened: from then on it may have run.
-            raise CallError(str(error), sent=True) from error
-
     def _body_failed(self, call, error):
         """Return the refusal of a body that broke off while it was passed on."""
         self.cancel(call)
--- a/comfreywharf/daemon/requests/forward_calls.py
+++ b/comfreywharf/daemon/requests/forward_calls.py
@@ -10,7 +10,7 @@
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.records import key_hash
 from comfreywharf.routing import Reason
-from comfreywharf.transport.gen.ttypes import BodyChunk
+from comfreywharf.transport.gen.ttypes import BodyChunk, UploadOpened
 
 __all__ = ["ForwardCalls"]
 
@@ -34,13 +34,13 @@
         return self._reply(served)
 
     def open_upload(self, request):
-        """Begin a request whose body follows in parts."""
+        """Begin a request whose body follows once it is wanted."""
         upload = Upload()
         number = self._uploads.add(upload)
         gevent.spawn(self._serve_upload, request, upload, boottime_s())
         kept_s = request.remaining_ms / 1000 + STREAM_MARGIN_S
         gevent.spawn_later(kept_s, self._uploads.remove, number)
-        return number
+        return UploadOpened(stream_id=number, wanted=upload.await_demand())
 
     def _serve_upload(self, request, upload, now_s):
         try:
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -4,7 +4,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.requests.bodies import BodyError
+from comfreywharf.daemon.requests.bodies import WHOLE_BODY_BYTES, BodyError
+from comfreywharf.daemon.requests.memory import resend_mark
 from comfreywharf.daemon.requests.replies import answer_of, refusal, remembered
 from comfreywharf.daemon.requests.running import RunningRequests
 from comfreywharf.daemon.requests.wire import answer_headers
@@ -15,14 +16,10 @@
     Reason,
     Recall,
     RequestKey,
-    fingerprint,
 )
 from comfreywharf.transport.gen.ttypes import ForwardReply, Header
 
-__all__ = ["INLINE_BODY_BYTES", "AnswerStream", "Forwarder", "StreamedReply"]
-
-INLINE_BODY_BYTES = 256 * 1024
-"""A body up to this length travels in one message."""
+__all__ = ["AnswerStream", "Forwarder", "StreamedReply"]
 
 RESEND_MARGIN_S = 1.0
 """How long a request may have been on its way before its age was counted."""
@@ -116,7 +113,7 @@
         key = RequestKey(request.service_name, right.key_hash, request.request_id)
         found = node.memory.begin(
             key,
-            mark=_fingerprint(request, body),
+            mark=resend_mark(request, body),
             first_sent_s=self._first_sent_s(request, now_s),
             vouched_since_s=right.vouched_since_s,
             now_s=now_s,
@@ -179,6 +176,12 @@
         refused = self._admit(request, body, running)
         if refused is not None:
             return refused
+        try:
+            body = self._collect(request, body, running)
+        except BodyError as error:
+            node.load.refused(running.slot, Reason.DEADLINE_BEFORE_START, backend)
+            self._running.settled(running)
+            return StreamedReply(refusal(error.reason, outcome=Outcome.NOT_RUN))
         exchange = _Exchange(node, self._running, running, backend, key)
         try:
             return exchange.run(request, body)
@@ -207,6 +210,19 @@
             self._node.decisions.not_admitted(request, reply, state, boottime_s())
         return None if reply is None else StreamedReply(reply)
 
+    @staticmethod
+    def _collect(request, body, running):
+        """Return a body of moderate length whole, so that none is passed on in part.
+
+        Raises `BodyError` where it can't be had by the deadline. A longer one, or one
+        of unknown length, is passed on as it comes.
+        """
+        if isinstance(body, bytes) or not 0 <= request.body_bytes <= WHOLE_BODY_BYTES:
+            return body
+        late = BodyError(Reason.DEADLINE_BEFORE_START)
+        with gevent.Timeout(max(0.0, running.deadline_s - boottime_s()), late):
+            return body.read_whole(request.body_bytes)
+
 
 class _Exchange:
     """One try of a request at the backend server."""
@@ -303,10 +319,10 @@
 
     def _read_start(self, response):
         if response.whole:
-            return response.read(INLINE_BODY_BYTES)
+            return response.read(WHOLE_BODY_BYTES)
         try:
             with gevent.Timeout(self._running.deadline_s - boottime_s()):
-                return response.read(INLINE_BODY_BYTES)
+                return response.read(WHOLE_BODY_BYTES)
         except gevent.Timeout as error:
             raise BackendError(Reason.DEADLINE_PASSED, "answer too late") from error
         except (OSError, HTTPParseError) as error:
@@ -322,11 +338,6 @@
             self.give_up()
 
 
-def _fingerprint(request, body):
-    known = body if isinstance(body, bytes) else b""
-    return fingerprint(request.method, request.path, known)
-
-
 def _answered(response, body):
     headers = answer_headers(response)
     length = response.get("content-length")
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -9,11 +9,14 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.connections.http import NodelayHandler, cut_connection
-from comfreywharf.daemon.requests.bodies import BodyError, CallerBody
+from comfreywharf.daemon.requests.bodies import (
+    WHOLE_BODY_BYTES,
+    BodyError,
+    CallerBody,
+)
 from comfreywharf.daemon.requests.caller_requests import parse_request
 from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
 from comfreywharf.daemon.requests.dispatch import AnswerCut
-from comfreywharf.daemon.requests.forwarder import INLINE_BODY_BYTES
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.routing import Outcome, Reason
 
@@ -153,10 +156,10 @@
             return Reason.BODY_TOO_LARGE
         body = CallerBody(source.stream, length, limit_bytes)
         call.body = body
-        if length > INLINE_BODY_BYTES:
+        if length > WHOLE_BODY_BYTES:
             return None
         try:
-            data = body.read_up_to(INLINE_BODY_BYTES)
+            data = body.read_up_to(WHOLE_BODY_BYTES)
         except BodyError as error:
             return error.reason
         if data is not None:
--- a/comfreywharf/daemon/requests/memory.py
+++ b/comfreywharf/daemon/requests/memory.py
@@ -2,10 +2,28 @@
 
 from gevent.event import Event
 
-from comfreywharf.routing import Answer, AnswerMemory, KeptAnswer, Outcome
+from comfreywharf.routing import (
+    Answer,
+    AnswerMemory,
+    KeptAnswer,
+    Outcome,
+    fingerprint,
+)
 from comfreywharf.transport.gen.ttypes import RememberedAnswer
 
-__all__ = ["NodeMemory"]
+__all__ = ["NodeMemory", "resend_mark"]
+
+
+def resend_mark(request, body):
+    """Return what sends under one request id are compared by.
+
+    ``body`` is that of a `ForwardRequest`, whole or in parts. Where it follows its
+    request, the ingress node has made the mark.
+    """
+    if request.body_mark:
+        return request.body_mark
+    known = body if isinstance(body, bytes) else b""
+    return fingerprint(request.method, request.path, known)
 
 
 class NodeMemory:
--- a/comfreywharf/daemon/requests/quarantine.py
+++ b/comfreywharf/daemon/requests/quarantine.py
@@ -25,9 +25,11 @@
 def request_fingerprint(request, body):
     """Return the fingerprint of a `ForwardRequest`.
 
-    Of a body that arrives in parts the first one is waited for; `BodyError` if
-    it can't be had.
+    Where the body follows its request, the ingress node has made it. Of another
+    body in parts the first one is waited for; `BodyError` if it can't be had.
     """
+    if request.fingerprint:
+        return request.fingerprint
     known = body if isinstance(body, bytes) else body.first_part()
     return fingerprint(
         request.service_name, request.key, request.method, request.path, known
--- a/comfreywharf/transport/gen/Node.py
+++ b/comfreywharf/transport/gen/Node.py
@@ -1089,8 +1089,9 @@
             if ftype == TType.STOP:
                 break
             if fid == 0:
-                if ftype == TType.I64:
-                    self.success = iprot.readI64()
+                if ftype == TType.STRUCT:
+                    self.success = UploadOpened()
+                    self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1104,8 +1105,8 @@
             return
         oprot.writeStructBegin('open_upload_result')
         if self.success is not None:
-            oprot.writeFieldBegin('success', TType.I64, 0)
-            oprot.writeI64(self.success)
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1132,7 +1133,7 @@
         return not (self == other)
 all_structs.append(open_upload_result)
 open_upload_result.thrift_spec = (
-    (0, TType.I64, 'success', None, None, ),  # 0
+    (0, TType.STRUCT, 'success', [UploadOpened, None], None, ),  # 0
 )
 
 
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -136,6 +136,9 @@
      - priority
      - repeatable
      - target_ms
+     - fingerprint
+     - body_mark
+     - body_bytes
 
     """
 
@@ -155,10 +158,13 @@
         'priority',
         'repeatable',
         'target_ms',
+        'fingerprint',
+        'body_mark',
+        'body_bytes',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None,):
+    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -174,6 +180,9 @@
         self.priority = priority
         self.repeatable = repeatable
         self.target_ms = target_ms
+        self.fingerprint = fingerprint
+        self.body_mark = body_mark
+        self.body_bytes = body_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -265,6 +274,21 @@
                     self.target_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.body_mark = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -338,6 +362,18 @@
             oprot.writeFieldBegin('target_ms', TType.I32, 15)
             oprot.writeI32(self.target_ms)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 16)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.body_mark is not None:
+            oprot.writeFieldBegin('body_mark', TType.I64, 17)
+            oprot.writeI64(self.body_mark)
+            oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 18)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -372,6 +408,96 @@
             raise TProtocolException(message='Required field repeatable is unset!')
         if self.target_ms is None:
             raise TProtocolException(message='Required field target_ms is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.body_mark is None:
+            raise TProtocolException(message='Required field body_mark is unset!')
+        if self.body_bytes is None:
+            raise TProtocolException(message='Required field body_bytes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UploadOpened(object):
+    """
+    Attributes:
+     - stream_id
+     - wanted
+
+    """
+
+    __slots__ = (
+        'stream_id',
+        'wanted',
+    )
+
+
+    def __init__(self, stream_id=None, wanted=None,):
+        self.stream_id = stream_id
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.wanted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UploadOpened')
+        if self.stream_id is not None:
+            oprot.writeFieldBegin('stream_id', TType.I64, 1)
+            oprot.writeI64(self.stream_id)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.BOOL, 2)
+            oprot.writeBool(self.wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.stream_id is None:
+            raise TProtocolException(message='Required field stream_id is unset!')
+        if self.wanted is None:
+            raise TProtocolException(message='Required field wanted is unset!')
         return
 
     def __repr__(self):
@@ -2923,6 +3049,15 @@
     (13, TType.I32, 'priority', None, None, ),  # 13
     (14, TType.BOOL, 'repeatable', None, None, ),  # 14
     (15, TType.I32, 'target_ms', None, None, ),  # 15
+    (16, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 16
+    (17, TType.I64, 'body_mark', None, 0, ),  # 17
+    (18, TType.I64, 'body_bytes', None, -1, ),  # 18
+)
+all_structs.append(UploadOpened)
+UploadOpened.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream_id', None, None, ),  # 1
+    (2, TType.BOOL, 'wanted', None, None, ),  # 2
 )
 all_structs.append(ForwardReply)
 ForwardReply.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -34,7 +34,16 @@
   12: required i32 first_sent_ago_ms,  // 0: this is the first send; -1: unknown
   13: required i32 priority,           // 0 is the most urgent
   14: required bool repeatable,        // it may run more than once
-  15: required i32 target_ms           // until an answer is worth less; 0: never
+  15: required i32 target_ms,          // until an answer is worth less; 0: never
+  // Of a body that follows its request:
+  16: required string fingerprint = "",  // what the quarantine knows it by
+  17: required i64 body_mark = 0,      // what resends of one request id are compared by
+  18: required i64 body_bytes = -1     // its length; -1: unknown
+}
+
+struct UploadOpened {
+  1: required i64 stream_id,
+  2: required bool wanted              // false: decided on without the body
 }
 
 struct ForwardReply {
@@ -198,9 +207,10 @@
 
 service Node {
   ForwardReply forward(1: ForwardRequest request),
-  // Large bodies: open, write parts, finish; each call returns when there is
-  // room for the next part, which is the backpressure.
-  i64 open_upload(1: ForwardRequest request),
+  // Bodies that follow their request: open, write parts, finish. Open returns once
+  // the body is wanted, or the request was decided on without it; each further call
+  // returns when there is room for the next part, which is the backpressure.
+  UploadOpened open_upload(1: ForwardRequest request),
   bool write_upload(1: i64 stream_id, 2: binary data),
   ForwardReply finish_upload(1: i64 stream_id),
   BodyChunk read_body(1: i64 stream_id, 2: i32 max_bytes),
