Take a relay for fresh by its routes as well as by its records

What callers saw: 404 for a route that had been acknowledged more than 2.5 s before. Cause: a node that hears from a relay judged it by the age of the log's records. The routes are another topic that another greenlet reads: a relay whose reads of them fail passed on old routes for good, and counted as fresh. Beside it, two relays were asked behind one another before the log was read (1.8 s of time-outs), and a relay one level down counted as fresh with news 2.1 s old, which with its next answer and a read is above 2.5 s. Ruled out: a lost answer of the store alone, which the reads' own time-out bounds. How it works: an exchange carries the routes' age, a relay is left once it is above what lets the node read them itself in time, and the log is read before a second relay is asked. The reader's poll is 0.4 s instead of 0.75 s, since the age is known by its end.

--- a/comfreywharf/daemon/belonging/gossip.py
+++ b/comfreywharf/daemon/belonging/gossip.py
@@ -11,6 +11,7 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.recording.snapshots import encode_slowly
 from comfreywharf.membership.gossip import GossipPace, choose_partners, push_count
+from comfreywharf.membership.relays import NewsAge
 from comfreywharf.records.snapshots import SnapshotAssembler
 from comfreywharf.transport import CallError, PeerClient
 from comfreywharf.transport.gen.ttypes import (
@@ -244,13 +245,13 @@
     def listen(self, client, wait_s):
         """Exchange with a peer that answers once it has news, or after a wait.
 
-        Return how old this node's fold is by what the peer says of its own, in
-        seconds, or ``None`` where the peer knows that records are missing here.
+        Return how old this node's fold and routes are by what the peer says of its own,
+        as a `NewsAge`, or ``None`` where the peer knows that records are missing here.
         """
         reply, _ = self._ask(client, wait_s)
         if reply.log_age_ms < 0 or not self._node.follower.knows(reply.next_offset):
             return None
-        return reply.log_age_ms / 1000
+        return NewsAge(reply.log_age_ms / 1000, _age_s(reply.routes_age_ms))
 
     def _exchange(self, client):
         """Exchange once; return whether there is more to be had at once."""
@@ -313,6 +314,10 @@
         return advanced
 
 
+def _age_s(age_ms):
+    return age_ms / 1000 if age_ms >= 0 else math.inf
+
+
 def _age_ms(age_s):
     """Return an age as a message carries it: -1 where nothing was ever confirmed."""
     return -1 if age_s > LONGEST_AGE_S else max(0, math.ceil(age_s * 1000))
--- a/comfreywharf/daemon/belonging/relaying.py
+++ b/comfreywharf/daemon/belonging/relaying.py
@@ -2,6 +2,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.membership.relays import Relays
+from comfreywharf.routes import longest_relayed_age_s
 from comfreywharf.transport import CallError
 
 __all__ = ["Relaying"]
@@ -19,29 +20,35 @@
 
     def __init__(self, node, read_wait_s):
         self._node = node
-        most_age_s = read_wait_s + MOST_AGE_MARGIN_S
-        self._relays = Relays(node.settings.node_id, most_age_s)
+        self._relays = Relays(
+            node.settings.node_id,
+            most_age_s=read_wait_s + MOST_AGE_MARGIN_S,
+            most_routes_age_s=longest_relayed_age_s(node.ports.routes_apply_s),
+        )
 
     def listen(self):
-        """Hear from a relay once; return whether its news can be relied on."""
+        """Hear from a relay once; return whether its news can be relied on.
+
+        Where it can't, the log is read before another relay is asked: the time-outs
+        of two relays behind one another would take up what a change may take.
+        """
         members = self._node.follower.state.members
-        while relay_id := self._relays.choose(members, boottime_s()):
-            if self._hear(relay_id, members):
-                return True
-        return False
+        relay_id = self._relays.choose(members, boottime_s())
+        return bool(relay_id) and self._hear(relay_id, members)
 
     def _hear(self, relay_id, members):
         client = self._node.peers.client(relay_id)
         if client is None:
             return self._avoid(relay_id, "no address")
         try:
-            age_s = self._node.gossip.listen(client, WAIT_S)
+            age = self._node.gossip.listen(client, WAIT_S)
         except CallError as error:
             return self._avoid(relay_id, str(error))
-        if age_s is None:
+        if age is None:
             return self._avoid(relay_id, "lacks records")
-        if not self._relays.is_fresh(members, relay_id, age_s):
-            return self._avoid(relay_id, f"news {age_s:.3f} s old")
+        if not self._relays.is_fresh(members, relay_id, age):
+            told = f"records {age.records_s:.3f} s old, routes {age.routes_s:.3f} s"
+            return self._avoid(relay_id, told)
         return True
 
     def _avoid(self, relay_id, why):
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -34,7 +34,8 @@
     ``doubt_s`` is tried; one that wasn't for ``silent_s`` counts as lost, unless
     that is ``None``. Of the requests of a service that routes lead to,
     ``retry_fraction`` more may be retries. Whose request the backend server itself
-    refused is told to come back after ``refused_retry_after_ms``.
+    refused is told to come back after ``refused_retry_after_ms``. A change of the
+    routes is to be in force within ``routes_apply_s``.
     """
 
     fenced = False
@@ -48,6 +49,7 @@
     removes_lost = False
     retry_fraction = DEFAULT_RETRY_FRACTION
     refused_retry_after_ms = 1000
+    routes_apply_s = float("inf")
 
     @property
     @abstractmethod
--- a/comfreywharf/membership/relays.py
+++ b/comfreywharf/membership/relays.py
@@ -11,7 +11,7 @@
 import attrs
 import xxhash
 
-__all__ = ["FANOUT", "Relays"]
+__all__ = ["FANOUT", "NewsAge", "Relays"]
 
 FANOUT = 16
 """How many nodes hear from the same one. At 640 nodes each relays to 16 others what
@@ -29,11 +29,20 @@
     return xxhash.xxh3_64_intdigest(node_id.encode()), node_id
 
 
+@attrs.frozen
+class NewsAge:
+    """How old what a relay passes on may be: the log's records, and the routes."""
+
+    records_s: float
+    routes_s: float
+
+
 @attrs.define
 class Relays:
     """Choose the member that a node hears the log's news from.
 
-    ``most_age_s`` is how old the news of a node that reads the log itself may be.
+    ``most_age_s`` is how old the records of a node that reads the log itself may be,
+    ``most_routes_age_s`` how old the routes of any relay may be.
 
     >>> relays = Relays("a", most_age_s=1.5)
     >>> relays.choose(["a"], now_s=0.0)
@@ -42,6 +51,7 @@
 
     node_id: str
     most_age_s: float
+    most_routes_age_s: float = float("inf")
     _avoided: dict = attrs.Factory(dict)
 
     def choose(self, members, now_s):
@@ -58,15 +68,18 @@
         """Take note that a relay didn't answer, or didn't know enough."""
         self._avoided[node_id] = now_s + AVOIDED_S
 
-    def is_fresh(self, members, relay_id, age_s):
+    def is_fresh(self, members, relay_id, age):
         """Return whether a relay's news is as new as its level lets one expect.
 
-        A relay that the log has turned away goes on answering, and who hears from
-        it would go by an old configuration without noticing.
+        ``age`` is its `NewsAge`. A relay that the log has turned away goes on
+        answering, and who hears from it would go by an old configuration without
+        noticing. Routes are read apart from records, so that either may be old alone.
         """
         order = self._order(members)
         level = _level(order.index(relay_id)) if relay_id in order else 0
-        return age_s <= self.most_age_s + level * LEVEL_AGE_S
+        if age.routes_s > self.most_routes_age_s:
+            return False
+        return age.records_s <= self.most_age_s + level * LEVEL_AGE_S
 
     def _above(self, members):
         """Return the relays of this node, the one to prefer first.
--- a/comfreywharf/membership/tests/test_relays.py
+++ b/comfreywharf/membership/tests/test_relays.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from comfreywharf.membership.relays import FANOUT, Relays
+from comfreywharf.membership.relays import FANOUT, NewsAge, Relays
+from comfreywharf.routes import longest_relayed_age_s
 
 NAMES = st.sets(st.integers(0, 2000), min_size=1, max_size=700).map(
     lambda numbers: [f"node-{number}" for number in numbers]
@@ -77,7 +78,18 @@
     Cause: the reader's answers were taken for news, however old they were."""
     members = ["a", "b"]
     reader = next(name for name in members if not relay_of(name, members))
-    assert Relays("c", MOST_AGE_S).is_fresh(members, reader, age_s) is fresh
+    age = NewsAge(records_s=age_s, routes_s=0.0)
+    assert Relays("c", MOST_AGE_S).is_fresh(members, reader, age) is fresh
+
+
+@pytest.mark.parametrize(("age_s", "fresh"), [(0.2, True), (1.7, True), (1.9, False)])
+def test_old_routes_of_a_relay_with_new_records_are_not_relied_on(age_s, fresh):
+    """Guards against a relay that counts as fresh by its records alone."""
+    members = ["a", "b"]
+    reader = next(name for name in members if not relay_of(name, members))
+    relays = Relays("c", MOST_AGE_S, longest_relayed_age_s(apply_s=2.5))
+    age = NewsAge(records_s=0.0, routes_s=age_s)
+    assert relays.is_fresh(members, reader, age) is fresh
 
 
 def test_a_node_that_is_no_member_reads_the_log_itself():
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -24,11 +24,9 @@
 
 TOPIC = "keyed.op"
 KEY = "config"
-WAIT_S = 0.75
-"""How long a read waits for news. One that the store never answers ends a second
-later, which is within the 2 s that a change may take. With 8 s, a node that the
-store had been silent to went on by old routes for 2.2 s beyond the change, although
-it was answered again."""
+WAIT_S = 0.4
+"""How long a read waits for news. The routes' age is known by its end only, and one
+that the store never answers ends a second later."""
 
 GRANT_WAYS = {"direct": GrantWay.ORDERS, "heartbeat": GrantWay.HEARTBEATS}
 
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -102,6 +102,7 @@
         self.store = Store(settings.store)
         self.doubt_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
         self.retry_fraction = RETRY_SHARE * settings.retry_fraction
+        self.routes_apply_s = settings.routes_apply_s
         self.front = None
         self.life = None
         self._routes = None
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -51,6 +51,7 @@
     grace_s: float
     longest_hold_s: float
     retry_fraction: float
+    routes_apply_s: float
     store_writes_per_s: float
     store_reads_per_s: float
 
@@ -154,6 +155,7 @@
         "drain_s": read(bounds + "drain", duration_s, 2.0),
         "grace_s": read(bounds + "grace", duration_s, 6.0),
         "longest_hold_s": read(bounds + "maxHold", duration_s, 10.0),
+        "routes_apply_s": read(bounds + "configApply", duration_s, 2.0),
         "retry_fraction": read(bounds + "retryBudgetRatio", _positive, 0.2),
         "store_writes_per_s": read("platform.platform.writesPerS", _positive, 400.0),
         "store_reads_per_s": read("platform.platform.readsPerS", _positive, 2000.0),
--- a/comfreywharf/routes/__init__.py
+++ b/comfreywharf/routes/__init__.py
@@ -15,6 +15,7 @@
     RouteTable,
 )
 from comfreywharf.routes.splits import Splitter
+from comfreywharf.routes.staleness import longest_relayed_age_s
 
 __all__ = [
     "CallerLimits",
@@ -27,4 +28,5 @@
     "Splitter",
     "decode_table",
     "encode_table",
+    "longest_relayed_age_s",
 ]
