Answer 404 only by routes that are younger than a change may take

What callers saw: a final 404 for a route that had been added; no caller tries that again. Cause: no request looked at how old the node's routes were. A node that had heard from nobody for seconds denied what it didn't know. Ruled out: nothing further; the class is acting on a view without asking for its age. Looked at beside it: known routes are served on by old routes, since most stay as they are and a store that is away would otherwise end service; witnesses and claims ask for the age of the records already; placing and the operators' pages don't deny anything to callers. Before: test_an_unknown_route_is_refused_for_good_only_by_current_routes failed, 404 by routes 2 s old. After: 503 routes-outdated with Retry-After, and 404 again once the store answers.

--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -10,6 +10,7 @@
 from comfreywharf.daemon.requests.front import Answer
 from comfreywharf.daemon.requests.ingress import BodySource
 from comfreywharf.records import NUMBER_KEYS, number_key
+from comfreywharf.routes import is_absence_certain
 from comfreywharf.routing import Reason
 from comfreywharf.transport.gen.ttypes import ForwardRequest, Header
 
@@ -40,6 +41,9 @@
 _METHOD = re.compile(r"[A-Z]{1,20}")
 
 MIN_LEFT_MS = 1
+ROUTES_RETRY_AFTER_MS = 250
+"""When to come back where the routes aren't known or may be out of date."""
+
 MAX_TOLD_ID = 128
 """How many characters of a request's id are logged where it may be nonsense."""
 
@@ -51,9 +55,10 @@
 class CallerDesk:
     """The application of the callers' port."""
 
-    def __init__(self, node, caller_service):
+    def __init__(self, node, caller_service, routes_apply_s):
         self._node = node
         self._caller_service = caller_service
+        self._routes_apply_s = routes_apply_s
         self._most_left_ms = {}
 
     def limits(self):
@@ -81,10 +86,12 @@
     def __call__(self, head, connection):
         """Return the `Answer` to one request."""
         now_s = boottime_s()
-        parsed = self._parse(head)
+        parsed = self._parse(head, now_s)
         if isinstance(parsed, Failure):
             request_id = head.get("x-attempt-id", "")[:MAX_TOLD_ID]
             reply = self._node.ingress.refuse(parsed.failure(), now_s, request_id)
+            if reply.status == 503:
+                reply.retry_after_ms = ROUTES_RETRY_AFTER_MS
             return _answer(reply, None, head)
         source = BodySource(
             coding="chunked" if head.length < 0 else None,
@@ -95,7 +102,7 @@
         reply, parts = self._node.ingress.serve(request, source, connection.sock, now_s)
         return _answer(reply, parts, head)
 
-    def _parse(self, head) -> Result[CallerRequest, Reason]:
+    def _parse(self, head, now_s) -> Result[CallerRequest, Reason]:
         routes = self._node.routes
         if not routes.version:
             return Failure(Reason.NO_ROUTES)
@@ -108,7 +115,10 @@
             return Failure(Reason.BAD_REQUEST)
         route = self._route(head)
         if route is None:
-            return Failure(Reason.UNKNOWN_SERVICE)
+            age_s = routes.age_s(now_s)
+            if is_absence_certain(age_s, self._routes_apply_s):
+                return Failure(Reason.UNKNOWN_SERVICE)
+            return Failure(Reason.ROUTES_OUTDATED)
         left_ms = _left_ms(head, route)
         if left_ms is None:
             return Failure(Reason.BAD_REQUEST)
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -146,7 +146,7 @@
         """Return the servers; they aren't started yet."""
         settings = self._settings
         self._routes = node.routes
-        desk = CallerDesk(node, settings.service)
+        desk = CallerDesk(node, settings.service, settings.routes_apply_s)
         self.front = CallerServer(
             settings.callers.host,
             settings.callers.port,
--- a/comfreywharf/routes/__init__.py
+++ b/comfreywharf/routes/__init__.py
@@ -15,7 +15,7 @@
     RouteTable,
 )
 from comfreywharf.routes.splits import Splitter
-from comfreywharf.routes.staleness import longest_relayed_age_s
+from comfreywharf.routes.staleness import is_absence_certain, longest_relayed_age_s
 
 __all__ = [
     "CallerLimits",
@@ -28,5 +28,6 @@
     "Splitter",
     "decode_table",
     "encode_table",
+    "is_absence_certain",
     "longest_relayed_age_s",
 ]
--- a/comfreywharf/routing/outcomes.py
+++ b/comfreywharf/routing/outcomes.py
@@ -38,6 +38,7 @@
     BAD_REQUEST = "bad-request"
     UNKNOWN_SERVICE = "unknown-service"
     NO_ROUTES = "no-routes"
+    ROUTES_OUTDATED = "routes-outdated"
     KEY_MISSING = "key-missing"
     KEY_TOO_LONG = "key-too-long"
     BODY_TOO_LARGE = "body-too-large"
