Collect the body of a request before it asks for a slot

How it works: eight bodies of a node are on their way or wait with their requests at a time; a request whose body isn't worth sending is refused without it, when it comes and again when its turn is there. The right to serve is laid down meanwhile, as for any wait. The test of refused uploads warms the estimate up first, and allows the eight bodies that may be ahead; without the fixes it fails as before.

--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -16,6 +16,7 @@
     Result,
     TimePassed,
     decide,
+    shed_before_body,
 )
 from comfreywharf.routing import Reason
 
@@ -67,23 +68,21 @@
         """Return the part of the slots that is in use."""
         return len(self.state.in_flight) / max(self.state.limit.slots, 1)
 
+    def refuse_before_body(self, request, deadline_s, ahead, now_s):
+        """Return the refusal of a request whose body isn't worth sending, or ``None``.
+
+        ``ahead`` others wait for their bodies to be sent.
+        """
+        ticket = _ticket(request, None, deadline_s, False, now_s)
+        shed = shed_before_body(self.state, ticket, ahead, now_s)
+        if shed is None:
+            return None
+        return refusal(shed.reason, retry_after_ms=int(shed.retry_after_s * 1000))
+
     def enter(self, slot, flow, deadline_s, alone, now_s):
         """Ask for a slot; if there is none yet, the slot's ``verdict`` is set later."""
         slot.admission = self
-        request = slot.request
-        target_s = now_s + request.target_ms / 1000 if request.target_ms else None
-        slot.ticket = ticket = Ticket(
-            flow=flow,
-            deadline_s=deadline_s,
-            arrived_s=now_s,
-            alone=alone,
-            rank=request.priority,
-            target_s=target_s,
-        )
-        if request.target_ms == TARGET_PASSED_MS:
-            # It came back after a refusal, and is late already. It gets what
-            # slots the others leave, which costs them nothing.
-            ticket.make_late()
+        slot.ticket = ticket = _ticket(slot.request, flow, deadline_s, alone, now_s)
         self._waiting[ticket] = slot
         self._carry_out(decide(self.state, Arrived(ticket), now_s))
         if ticket not in self._waiting:
@@ -138,6 +137,23 @@
             _wake(slot)
 
 
+def _ticket(request, flow, deadline_s, alone, now_s):
+    target_s = now_s + request.target_ms / 1000 if request.target_ms else None
+    ticket = Ticket(
+        flow=flow,
+        deadline_s=deadline_s,
+        arrived_s=now_s,
+        alone=alone,
+        rank=request.priority,
+        target_s=target_s,
+    )
+    if request.target_ms == TARGET_PASSED_MS:
+        # It came back after a refusal, and is late already. It gets what
+        # slots the others leave, which costs them nothing.
+        ticket.make_late()
+    return ticket
+
+
 def _wake(slot):
     if slot.verdict is not None:
         slot.verdict.set()
--- a/comfreywharf/daemon/requests/bodies.py
+++ b/comfreywharf/daemon/requests/bodies.py
@@ -121,8 +121,6 @@
         self._parts = Queue(maxsize=1)
         self._first = []
         self._asked_or_finished = gevent.event.Event()
-        self._whole = gevent.event.AsyncResult()
-        self.gathering = False
         self.finished = gevent.event.AsyncResult()
 
     def await_demand(self):
@@ -157,24 +155,12 @@
         while (part := self._take()) is not None:
             yield part
 
-    def gather(self, size_bytes):
-        """Take the whole body, whose length is known, and keep it for `read_whole`."""
-        self.gathering = True
-        try:
-            data = b"".join(self)
-        except BodyError as error:
-            self._whole.set_exception(error)
-            return
-        if len(data) == size_bytes:
-            self._whole.set(data)
-        else:
-            self._whole.set_exception(BodyError(Reason.CALLER_GONE))
-
     def read_whole(self, size_bytes):
         """Return a body of a known length; `BodyError` if it isn't that long."""
-        if not self.gathering:
-            self.gather(size_bytes)
-        return self._whole.get()
+        data = b"".join(self)
+        if len(data) != size_bytes:
+            raise BodyError(Reason.CALLER_GONE)
+        return data
 
     def _take(self):
         return self._first.pop() if self._first else self._next()
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -6,7 +6,6 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.requests.bodies import WHOLE_BODY_BYTES, BodyError
 from comfreywharf.daemon.requests.memory import resend_mark
-from comfreywharf.daemon.requests.prefetching import is_collected
 from comfreywharf.daemon.requests.replies import answer_of, refusal, remembered
 from comfreywharf.daemon.requests.running import RunningRequests
 from comfreywharf.daemon.requests.wire import answer_headers
@@ -177,15 +176,9 @@
         refused = self._admit(request, body, running)
         if refused is not None:
             return refused
-        try:
-            body = self._collect(request, body, running)
-        except BodyError as error:
-            node.load.refused(running.slot, Reason.DEADLINE_BEFORE_START, backend)
-            self._running.settled(running)
-            return StreamedReply(refusal(error.reason, outcome=Outcome.NOT_RUN))
         exchange = _Exchange(node, self._running, running, backend, key)
         try:
-            return exchange.run(request, body)
+            return exchange.run(request, running.slot.body)
         except BaseException:
             # Whatever went wrong, the request may have been sent.
             exchange.give_up()
@@ -211,19 +204,6 @@
             self._node.decisions.not_admitted(request, reply, state, boottime_s())
         return None if reply is None else StreamedReply(reply)
 
-    @staticmethod
-    def _collect(request, body, running):
-        """Return a body of moderate length whole, so that none is passed on in part.
-
-        Raises `BodyError` where it can't be had by the deadline. A longer one, or one
-        of unknown length, is passed on as it comes.
-        """
-        if not is_collected(body, request.body_bytes):
-            return body
-        late = BodyError(Reason.DEADLINE_BEFORE_START)
-        with gevent.Timeout(max(0.0, running.deadline_s - boottime_s()), late):
-            return body.read_whole(request.body_bytes)
-
 
 class _Exchange:
     """One try of a request at the backend server."""
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -1,5 +1,6 @@
 """The node's load: who may run now, where the rest goes, what must not run."""
 
+import contextlib
 import random
 from functools import partial
 
@@ -7,8 +8,8 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.requests.admission import Admission, Slot
+from comfreywharf.daemon.requests.collecting import Collecting, collect, is_collected
 from comfreywharf.daemon.requests.members import Members
-from comfreywharf.daemon.requests.prefetching import Prefetching
 from comfreywharf.daemon.requests.quarantine import QuarantineShell, request_fingerprint
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import HotKeys, Standing
@@ -56,7 +57,7 @@
         self._shed_count = 0
         self._shed_told_s = float("-inf")
         self.quarantine = QuarantineShell(node)
-        self._prefetching = Prefetching()
+        self._collecting = Collecting()
         self.members = Members(node)
 
     # The backend server beside this node.
@@ -114,17 +115,48 @@
         service = self._node.follower.state.config.services.get(request.service_name)
         if service is not None:
             admission.state.queue_length = service.queue_length
-        flow = running.right.key_hash or None
         alone = standing is Standing.SUSPECT or _is_marked(request)
-        admission.enter(slot, flow, running.deadline_s, alone, boottime_s())
-        if slot.verdict is not None:
-            self._wait(slot, running)
+        right = running.right
+        with contextlib.ExitStack() as stack:
+            if is_collected(body, request.body_bytes):
+                self._collect(slot, running, admission, stack)
+            if slot.refused is None:
+                flow = right.key_hash or None
+                admission.enter(slot, flow, running.deadline_s, alone, boottime_s())
+            if slot.verdict is not None:
+                self._wait(slot, running)
+        if slot.refused is None and running.right is not right:
+            self._take_up(slot, running, right)
         if slot.refused is None:
             self.quarantine.begun(slot)
         elif slot.refused.reason in _SHED:
             self._count_shed(request.service_name)
         return slot
 
+    def _collect(self, slot, running, admission, stack):
+        """Have the slot's body sent, unless its request is refused without it.
+
+        There is room for the next body once the stack is left.
+        """
+        ahead = self._collecting.waiting
+        if self._is_refused_before_body(slot, running, admission, ahead):
+            return
+        self._lay_down(running)
+        stack.enter_context(self._collecting.room(running.deadline_s))
+        if self._is_refused_before_body(slot, running, admission, 0):
+            return
+        size_bytes = slot.request.body_bytes
+        slot.body = collect(slot.body, size_bytes, running.deadline_s)
+
+    def _is_refused_before_body(self, slot, running, admission, ahead):
+        if running.cancelled:
+            slot.refused = refusal(Reason.CALLER_GONE_BEFORE_START)
+        else:
+            slot.refused = admission.refuse_before_body(
+                slot.request, running.deadline_s, ahead, boottime_s()
+            )
+        return slot.refused is not None
+
     def _count_shed(self, service):
         self._shed_count += 1
         now_s = boottime_s()
@@ -139,18 +171,19 @@
         self._shed_count = 0
         self._shed_told_s = now_s
 
+    def _lay_down(self, running):
+        """Give back the right to serve for as long as the request waits."""
+        self._node.leases.finish(running.right)
+        running.right = attrs.evolve(running.right, ticket=0)
+
     def _wait(self, slot, running):
-        right = running.right
-        self._node.leases.finish(right)
-        running.right = attrs.evolve(right, ticket=0)
+        self._lay_down(running)
         running.abort = partial(slot.admission.give_up, slot)
-        size_bytes = slot.request.body_bytes
-        refused = partial(_is_refused, slot)
-        with self._prefetching.while_waiting(slot.body, size_bytes, refused):
-            slot.verdict.wait()
+        slot.verdict.wait()
         running.abort = None
-        if slot.refused is not None:
-            return
+
+    def _take_up(self, slot, running, right):
+        """Ask again for the right that was laid down; refuse if it has changed."""
         now_s = boottime_s()
         request = slot.request
         again = self._node.leases.acquire(
@@ -262,7 +295,8 @@
 
     def waiting(self):
         """Return how many requests wait for a slot."""
-        return self._admission.state.waiting if self._admission else 0
+        queued = self._admission.state.waiting if self._admission else 0
+        return queued + self._collecting.waiting
 
     def _standing(self, slot):
         if self.quarantine.is_empty():
@@ -274,9 +308,5 @@
         return refusal(Reason.QUARANTINED, retry_after_ms=wait_ms)
 
 
-def _is_refused(slot):
-    return slot.refused is not None
-
-
 def _is_marked(request):
     return any(header.name == SUSPECT_HEADER for header in request.headers)
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -25,6 +25,7 @@
     "Shed",
     "TimePassed",
     "decide",
+    "shed_before_body",
 ]
 
 MAX_ALONE = 16
@@ -158,8 +159,8 @@
     def typical_s(self, rank, now_s):
         """Return the time that a request of a rank needs once it was begun.
 
-        Requests of one rank resemble each other. By the median of all, a short one
-        would look hopeless on a server that is busy with uploads.
+        By the median of all, a short one would look hopeless on a server that is busy
+        with uploads.
         """
         return self.rank_times.get(rank, self.times).typical_s(now_s)
 
@@ -190,6 +191,19 @@
     raise TypeError(f"expected an admission event, got {event!r}")
 
 
+def shed_before_body(state, ticket, ahead, now_s):
+    """Return the `Shed` of a request whose body isn't worth sending, or ``None``.
+
+    ``ahead`` others wait for their bodies to be sent, and come before it.
+    """
+    sent_s = now_s + state.times.wait_s(ahead, state.limit.allowed(), now_s)
+    if not ahead and not state.queue and _free(state):
+        served = not _hopeless(state, ticket, sent_s)
+    else:
+        served = _fits_in_queue(state, ticket, sent_s)
+    return None if served else _shed(state, ticket, Reason.OVERLOADED, now_s)
+
+
 def _arrive(state, ticket, now_s):
     if not state.fair:
         ticket.flow = None
--- a/comfreywharf/platform/tests/test_uploads.py
+++ b/comfreywharf/platform/tests/test_uploads.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from comfreywharf.daemon.requests.prefetching import BODIES_AHEAD
+from comfreywharf.daemon.requests.collecting import BODIES_AHEAD
 from comfreywharf.platform.tests.builders import wait_for
 from comfreywharf.transport.sockets import SocketTransport
 
@@ -40,6 +40,9 @@
 def test_the_body_of_a_refused_upload_is_not_sent_to_its_owners_node(deployment):
     """Guards against a link full of bodies that admission refuses."""
     deployment.servers["n3"].work_s = 0.4
+    # Its node knows from them how long an upload takes.
+    gevent.joinall([gevent.spawn(upload, deployment, "n0") for _ in range(8)])
+    deployment.ledger.clear()
     patch, counter = sent_between_nodes()
     with patch:
         tries = [gevent.spawn(upload, deployment, "n0") for _ in range(UPLOADS)]
