--- a/comfreywharf/daemon/operating/decisions.py
+++ b/comfreywharf/daemon/operating/decisions.py
@@ -116,7 +116,8 @@
             facts["waiting"] = state.waiting
             facts["running"] = len(state.in_flight)
             facts["allowed"] = state.limit.allowed()
-            typical_s = state.typical_s(request.priority, now_s)
+            kind = (request.priority, request.repeatable)
+            typical_s = state.typical_s(kind, now_s)
             facts["typical_ms"] = round(typical_s * 1000)
             facts["target_ms"] = request.target_ms
         self._log.tell(now_s, request.request_id, "not_admitted", **facts)
--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -145,6 +145,7 @@
         arrived_s=now_s,
         alone=alone,
         rank=request.priority,
+        kind=(request.priority, request.repeatable),
         target_s=target_s,
     )
     if request.target_ms == TARGET_PASSED_MS:
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -138,7 +138,7 @@
     queue_length: int
     chance: random.Random
     times: ServiceTimes = attrs.Factory(ServiceTimes)
-    rank_times: dict[int, ServiceTimes] = attrs.Factory(dict)
+    kind_times: dict[object, ServiceTimes] = attrs.Factory(dict)
     queue: RequestQueue = attrs.Factory(FairQueue)
     in_flight: set[Ticket] = attrs.Factory(set)
     flows_in_flight: dict[object, int] = attrs.Factory(dict)
@@ -156,13 +156,13 @@
         """Return which part of the begun requests was more urgent than a rank."""
         return sum(share for r, share in self.rank_shares.items() if r < rank)
 
-    def typical_s(self, rank, now_s):
-        """Return the time that a request of a rank needs once it was begun.
+    def typical_s(self, kind, now_s):
+        """Return the time that a request of a kind needs once it was begun.
 
         By the median of all, a short one would look hopeless on a server that is busy
         with uploads.
         """
-        return self.rank_times.get(rank, self.times).typical_s(now_s)
+        return self.kind_times.get(kind, self.times).typical_s(now_s)
 
     @property
     def waiting(self):
@@ -255,7 +255,7 @@
     """
     if not state.by_deadline:
         return False
-    return now_s + state.typical_s(ticket.rank, now_s) > ticket.deadline_s
+    return now_s + state.typical_s(ticket.kind, now_s) > ticket.deadline_s
 
 
 def _fits_in_queue(state, ticket, now_s):
@@ -280,7 +280,7 @@
     wait_s = state.times.wait_s(ahead, state.limit.allowed(), now_s)
     # More urgent requests that come later go before this one all the same.
     wait_s /= max(1 - state.urgent_share(ticket.turn), LEAST_SHARE)
-    return now_s + wait_s + state.typical_s(ticket.rank, now_s)
+    return now_s + wait_s + state.typical_s(ticket.kind, now_s)
 
 
 def _begin_next(state, now_s):
@@ -308,7 +308,7 @@
 def _misses_target(state, ticket, now_s):
     if ticket.target_s is None:
         return False
-    return now_s + state.typical_s(ticket.rank, now_s) > ticket.target_s
+    return now_s + state.typical_s(ticket.kind, now_s) > ticket.target_s
 
 
 def _flows_held_back(state):
@@ -376,7 +376,7 @@
         state.limit.refused(now_s)
     if result in (Result.REFUSED, Result.UNUSED):
         return
-    own_times = state.rank_times.setdefault(ticket.rank, ServiceTimes())
+    own_times = state.kind_times.setdefault(ticket.kind, ServiceTimes())
     for times in (state.times, own_times):
         times.add(now_s - ticket.begun_s, now_s)
     if result is Result.ANSWERED:
--- a/comfreywharf/load/fairqueue.py
+++ b/comfreywharf/load/fairqueue.py
@@ -22,7 +22,8 @@
 
     ``flow`` is what must not starve others: the key, or ``None`` where a service
     isn't divided by key. An ``alone`` request is suspected of crashing backend
-    servers and runs beside no other. ``rank`` 0 is the most urgent. After
+    servers and runs beside no other. ``rank`` 0 is the most urgent. Requests of one
+    ``kind`` take about the same time. After
     ``target_s`` an answer is worth less; ``None`` means that it never is.
     """
 
@@ -31,6 +32,7 @@
     arrived_s: float
     alone: bool = False
     rank: int = 0
+    kind: object = None
     target_s: float | None = None
     begun_s: float | None = None
     late: bool = False
--- a/comfreywharf/load/tests/test_ranked_queue.py
+++ b/comfreywharf/load/tests/test_ranked_queue.py
@@ -27,6 +27,7 @@
         deadline_s=now_s + DEADLINE_S,
         arrived_s=now_s,
         rank=rank,
+        kind=rank,
         target_s=None if target_s is None else now_s + target_s,
     )
 
