Let three bodies be ahead at a node instead of eight

How it works: two bodies keep such a link busy, since asking for the next one takes a millisecond; each further one is only more queue.

--- a/comfreywharf/daemon/requests/collecting.py
+++ b/comfreywharf/daemon/requests/collecting.py
@@ -16,9 +16,9 @@
 
 __all__ = ["BODIES_AHEAD", "Collecting", "collect", "is_collected"]
 
-BODIES_AHEAD = 8
+BODIES_AHEAD = 3
 """How many bodies of a node may be on their way or wait with their request for a slot.
-A server takes about half as many at a time."""
+Two keep a link busy; with each further one, all else that comes over it is later."""
 
 
 def is_collected(body, size_bytes):
