--- a/comfreywharf/daemon/tests/test_news.py
+++ b/comfreywharf/daemon/tests/test_news.py
@@ -14,7 +14,7 @@
 from comfreywharf.membership.relays import FANOUT
 from comfreywharf.records import SliceMove, SlicesMoved, encode_record
 
-SLOW_LINK_BYTES_PER_S = 1_250_000
+SLOW_LINK_BYTES_PER_S = 625_000
 RELAY_TIMEOUT_S = 0.9
 
 
