Take the time on its way off what a request has left

What callers saw: nothing, they had gone; their servers worked for them all the same. Cause: a request's remaining time counted from its arrival at the owner's node. Behind a full link one arrived 1.2 to 1.8 s after its caller had left, ahead of the word of that. Class: a relative time that isn't reduced by the way. It patches from the start now; without this change the request is run after its deadline, with it it isn't. How it works: a message names its sender's time; the least difference to the receiver's clock within 10 to 20 s stands for a way without a queue, and what is above that and 0.1 s is taken off. A way of over 8 s is another clock, not a queue.

--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -240,6 +240,7 @@
 
     def _call(self, client, call):
         timeout_s = call.request.remaining_ms / 1000 + HOP_MARGIN_S
+        call.request.sent_ms = int(boottime_s() * 1000)
         try:
             if is_inline(call.body):
                 call.request.body = call.body
--- a/comfreywharf/daemon/requests/forward_calls.py
+++ b/comfreywharf/daemon/requests/forward_calls.py
@@ -11,12 +11,17 @@
 from comfreywharf.records import key_hash
 from comfreywharf.routing import Reason
 from comfreywharf.transport.gen.ttypes import BodyChunk, UploadOpened
+from comfreywharf.transport.transits import TransitTimes
 
 __all__ = ["ForwardCalls"]
 
 STREAM_MARGIN_S = 1.0
 """How long after its deadline a stream is still known by its number."""
 
+TRANSIT_MARGIN_S = 0.1
+"""How long a message may take without any of its request's time being taken off: what a
+busy node needs to send and to read it."""
+
 LONGEST_PART_BYTES = PART_BYTES * 4
 
 
@@ -27,21 +32,39 @@
         self._node = node
         self._uploads = Streams()
         self._downloads = Streams()
+        self._transits = {}
 
     def forward(self, request):
         """Serve a request whose key this node owns."""
+        if self._is_too_late(request):
+            return refusal(Reason.DEADLINE_BEFORE_START)
         served = self._node.forwarder.serve(request, request.body, boottime_s())
         return self._reply(served)
 
     def open_upload(self, request):
         """Begin a request whose body follows once it is wanted."""
         upload = Upload()
+        if self._is_too_late(request):
+            upload.finish(StreamedReply(refusal(Reason.DEADLINE_BEFORE_START)))
         number = self._uploads.add(upload)
-        gevent.spawn(self._serve_upload, request, upload, boottime_s())
+        if not upload.finished.ready():
+            gevent.spawn(self._serve_upload, request, upload, boottime_s())
         kept_s = request.remaining_ms / 1000 + STREAM_MARGIN_S
         gevent.spawn_later(kept_s, self._uploads.remove, number)
         return UploadOpened(stream_id=number, wanted=upload.await_demand())
 
+    def _is_too_late(self, request):
+        """Take the time on its way off a request's own; return whether none is left.
+
+        Its caller has gone by then, though the word of that may still be on its way.
+        """
+        if not request.sent_ms:
+            return False
+        transits = self._transits.setdefault(request.ingress_node_id, TransitTimes())
+        queued_s = transits.queued_s(request.sent_ms / 1000, boottime_s())
+        request.remaining_ms -= max(0, int((queued_s - TRANSIT_MARGIN_S) * 1000))
+        return request.remaining_ms <= 0
+
     def _serve_upload(self, request, upload, now_s):
         try:
             upload.finish(self._node.forwarder.serve(request, upload, now_s))
--- a/comfreywharf/platform/tests/test_transit.py
+++ b/comfreywharf/platform/tests/test_transit.py
@@ -10,18 +10,28 @@
 LONGER_THAN_ITS_CALLER_WAITS_S = 1.2
 
 
-def test_a_request_that_arrives_after_its_deadline_is_not_run(deployment):
-    """Guards against work for callers who have gone, sent on behind a full link."""
-    forward = ForwardCalls.forward
-    ingress = deployment.elsewhere(KEY)
-    assert deployment.ask(ingress, key=KEY).status == 200
-    deployment.ledger.clear()
+class Way:
+    """A way between nodes that takes ``took_s`` for a request."""
 
-    def arrive_late(self, request):
-        gevent.sleep(LONGER_THAN_ITS_CALLER_WAITS_S)
-        return forward(self, request)
+    def __init__(self):
+        self.took_s = 0.0
+        forward = ForwardCalls.forward
+
+        def arrive(calls, request):
+            gevent.sleep(self.took_s)
+            return forward(calls, request)
 
-    with mock.patch.object(ForwardCalls, "forward", arrive_late):
+        self.patch = mock.patch.object(ForwardCalls, "forward", arrive)
+
+
+def test_a_request_that_arrives_after_its_deadline_is_not_run(deployment):
+    """Guards against work for callers who have gone, sent on behind a full link."""
+    way = Way()
+    with way.patch:
+        ingress = deployment.elsewhere(KEY)
+        assert deployment.ask(ingress, key=KEY).status == 200
+        deployment.ledger.clear()
+        way.took_s = LONGER_THAN_ITS_CALLER_WAITS_S
         answer = deployment.ask(ingress, key=KEY)
         gevent.sleep(LONGER_THAN_ITS_CALLER_WAITS_S)
     assert answer.status >= 500
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -139,6 +139,7 @@
      - fingerprint
      - body_mark
      - body_bytes
+     - sent_ms
 
     """
 
@@ -161,10 +162,11 @@
         'fingerprint',
         'body_mark',
         'body_bytes',
+        'sent_ms',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1,):
+    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -183,6 +185,7 @@
         self.fingerprint = fingerprint
         self.body_mark = body_mark
         self.body_bytes = body_bytes
+        self.sent_ms = sent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -289,6 +292,11 @@
                     self.body_bytes = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -374,6 +382,10 @@
             oprot.writeFieldBegin('body_bytes', TType.I64, 18)
             oprot.writeI64(self.body_bytes)
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 19)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -414,6 +426,8 @@
             raise TProtocolException(message='Required field body_mark is unset!')
         if self.body_bytes is None:
             raise TProtocolException(message='Required field body_bytes is unset!')
+        if self.sent_ms is None:
+            raise TProtocolException(message='Required field sent_ms is unset!')
         return
 
     def __repr__(self):
@@ -2959,6 +2973,7 @@
     (16, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 16
     (17, TType.I64, 'body_mark', None, 0, ),  # 17
     (18, TType.I64, 'body_bytes', None, -1, ),  # 18
+    (19, TType.I64, 'sent_ms', None, 0, ),  # 19
 )
 all_structs.append(UploadOpened)
 UploadOpened.thrift_spec = (
--- /dev/null
+++ b/comfreywharf/transport/tests/test_transits.py
@@ -0,0 +1,37 @@
+"""The time that messages spend on their way, by two clocks that differ."""
+
+import pytest
+
+from comfreywharf.transport.transits import LONGEST_S, WINDOW_S, TransitTimes
+
+APART_S = -4_000.0
+"""How far the receiver's clock is ahead of the sender's."""
+
+
+def arrive(times, sent_s, took_s):
+    return times.queued_s(sent_s, sent_s + APART_S + took_s)
+
+
+def test_what_a_message_took_above_the_fastest_one_is_its_time_in_queues():
+    """Guards against deadlines that don't count the way."""
+    times = TransitTimes()
+    for number in range(20):
+        arrive(times, number * 0.1, took_s=0.01)
+    assert arrive(times, 2.0, took_s=1.81) == pytest.approx(1.8)
+
+
+def test_a_slower_way_that_stays_is_no_queue_for_good():
+    """Guards against requests that are refused for ever after a change of the way."""
+    times = TransitTimes()
+    arrive(times, 0.0, took_s=0.01)
+    for number in range(1, 60):
+        queued_s = arrive(times, number * WINDOW_S / 20, took_s=0.5)
+    assert queued_s == pytest.approx(0.0)
+
+
+def test_a_machine_with_another_clock_is_no_long_way():
+    """Guards against a replaced machine whose requests are all refused."""
+    times = TransitTimes()
+    arrive(times, 5_000.0, took_s=0.01)
+    assert arrive(times, 10.0, took_s=LONGEST_S + 6_000.0) == 0.0
+    assert arrive(times, 11.0, took_s=LONGEST_S + 6_000.2) == pytest.approx(0.2)
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -38,7 +38,9 @@
   // Of a body that follows its request:
   16: required string fingerprint = "",  // what the quarantine knows it by
   17: required i64 body_mark = 0,      // what resends of one request id are compared by
-  18: required i64 body_bytes = -1     // its length; -1: unknown
+  18: required i64 body_bytes = -1,    // its length; -1: unknown
+  // By the sender's clock, which the receiver compares with earlier ones only:
+  19: required i64 sent_ms = 0         // 0: unknown
 }
 
 struct UploadOpened {
