--- a/comfreywharf/daemon/requests/collecting.py
+++ b/comfreywharf/daemon/requests/collecting.py
@@ -1,4 +1,4 @@
-"""Bodies that follow their requests: had whole before a slot is asked for.
+"""Collect the bodies that follow their requests before a slot is asked for.
 
 A slot that is held while a body is on its way serves nobody meanwhile. If each body
 were sent as soon as its request comes, they would fill the link, though many of the
--- a/comfreywharf/daemon/requests/forward_calls.py
+++ b/comfreywharf/daemon/requests/forward_calls.py
@@ -56,7 +56,7 @@
     def _is_too_late(self, request):
         """Take the time on its way off a request's own; return whether none is left.
 
-        Its caller has gone by then, though the word of that may still be on its way.
+        Its caller has gone by then, and the cancellation may be on its way behind it.
         """
         if not request.sent_ms:
             return False
