Begin no request that waited while its server's leaving came into force

Cause: whether a node takes new work was asked when a request came, and not again after it had waited for its body or a slot. Waits for a slot were short; with bodies collected first they last as long as a link takes. Before: test_an_upload_that_waits_for_a_leaving_server_is_not_begun failed, 16 runs for 8. After: it passes, the 8 that wait are refused as not run.

--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -189,15 +189,17 @@
         again = self._node.leases.acquire(
             request.service_name, request.key, now_s, running.deadline_s - now_s
         )
-        if again.reason is None and again.fence == right.fence:
+        leaves = self._node.closed_to_new_work
+        if not leaves and again.reason is None and again.fence == right.fence:
             running.right = again
             running.deadline_s = min(running.deadline_s, again.deadline_s)
             return
         # The key may have been elsewhere in the meantime: its requests may have
         # run there, and the memory of answers that was asked is stale.
         self._node.leases.finish(again)
+        reason = Reason.DRAINING if leaves and not request.key else again.reason
         slot.refused = refusal(
-            again.reason or Reason.NOT_YET_OWNER, owner_hint=again.owner_hint
+            reason or Reason.NOT_YET_OWNER, owner_hint=again.owner_hint
         )
         slot.result = Result.UNUSED
         slot.admission.finish(slot)
--- a/comfreywharf/platform/tests/test_uploads.py
+++ b/comfreywharf/platform/tests/test_uploads.py
@@ -78,3 +78,17 @@
         gevent.joinall(first)
     allowed_bytes = len(first) * len(BODY) + AHEAD_BYTES + 24 * HEAD_BYTES
     assert counter.size_bytes - before_bytes <= allowed_bytes
+
+
+def test_an_upload_that_waits_for_a_leaving_server_is_not_begun(deployment):
+    """Guards against work that reaches a server after its leaving is in force."""
+    server, owner = deployment.servers["n3"], deployment.nodes["n3"]
+    server.work_s = 0.3
+    running = [gevent.spawn(upload, deployment, "n0") for _ in range(8)]
+    wait_for(lambda: len(deployment.ledger) == len(running))
+    waiting = [gevent.spawn(upload, deployment, "n0") for _ in range(8)]
+    wait_for(lambda: owner.load.waiting() == len(waiting))
+    owner.close_to_new_work()
+    gevent.joinall(running + waiting)
+    assert len(deployment.ledger) == len(running)
+    assert {task.value.status for task in waiting} == {503}
