Let all callers of a test leave within one look round

Cause: test_few_bodies_are_sent_for_callers_who_leave_while_they_wait failed once in some ten runs, with three bodies more than allowed. A trace of twelve plays showed why: the watch looks at no call that is younger than 0.1 s, so that some of the callers were found gone one look later (three bodies at 4279.857 s, three at 4279.954 s), and the room of those found first went to those.

--- a/comfreywharf/platform/tests/test_uploads.py
+++ b/comfreywharf/platform/tests/test_uploads.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from comfreywharf.daemon.requests.caller_watch import WATCH_INTERVAL_S
 from comfreywharf.daemon.requests.collecting import BODIES_AHEAD
 from comfreywharf.platform.tests.builders import wait_for
 from comfreywharf.transport.sockets import SocketTransport
@@ -64,7 +65,7 @@
 def test_few_bodies_are_sent_for_callers_who_leave_while_they_wait(deployment):
     """Guards against a link full of bodies of callers who have gone."""
     server = deployment.servers["n3"]
-    server.work_s = 0.5
+    server.work_s = 0.8
     owner = deployment.nodes["n3"]
     patch, counter = sent_between_nodes()
     with patch:
@@ -73,6 +74,8 @@
         before_bytes = counter.size_bytes
         left = [gevent.spawn(upload, deployment, "n0") for _ in range(16)]
         wait_for(lambda: owner.load.waiting() == len(left))
+        # One look round then finds all of them gone.
+        gevent.sleep(2 * WATCH_INTERVAL_S)
         gevent.killall(left)
         wait_for(lambda: not owner.load.waiting())
         gevent.joinall(first)
