Say once whether a late upload is served, and that news is always compressed

Cause: read once more: an upload that came too late was finished, and whether it was finished was asked again two lines on; the module on news spoke of a choice that it has not. Before and after: behaviour is meant to stay as it is; no test changed.

--- a/comfreywharf/daemon/belonging/news.py
+++ b/comfreywharf/daemon/belonging/news.py
@@ -1,4 +1,4 @@
-"""Records of the log as nodes pass them on to each other, compressed where it pays.
+"""Records of the log as nodes pass them on to each other: compressed.
 
 An assignment of all slices is one record of tens of kilobytes. A relay passes it on to
 many members at once, and on a slow link the last of them would have it after the time
--- a/comfreywharf/daemon/requests/forward_calls.py
+++ b/comfreywharf/daemon/requests/forward_calls.py
@@ -46,9 +46,9 @@
         upload = Upload()
         if self._is_too_late(request):
             upload.finish(StreamedReply(refusal(Reason.DEADLINE_BEFORE_START)))
-        number = self._uploads.add(upload)
-        if not upload.finished.ready():
+        else:
             gevent.spawn(self._serve_upload, request, upload, boottime_s())
+        number = self._uploads.add(upload)
         kept_s = request.remaining_ms / 1000 + STREAM_MARGIN_S
         gevent.spawn_later(kept_s, self._uploads.remove, number)
         return UploadOpened(stream_id=number, wanted=upload.await_demand())
