Name in one place what makes requests of one kind

Cause: admission and the lines on refused requests each spelled out that a kind is a rank and whether the request may be repeated; one changed alone would have logged another estimate than the one that decided.

--- a/comfreywharf/daemon/operating/decisions.py
+++ b/comfreywharf/daemon/operating/decisions.py
@@ -4,6 +4,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.events.decisions import DecisionLog, is_sampled
+from comfreywharf.load.estimates import work_kind
 from comfreywharf.routing import Outcome
 
 __all__ = ["NEVER_AGE_S", "Decisions", "StdoutLines", "no_lines"]
@@ -116,8 +117,7 @@
             facts["waiting"] = state.waiting
             facts["running"] = len(state.in_flight)
             facts["allowed"] = state.limit.allowed()
-            kind = (request.priority, request.repeatable)
-            typical_s = state.typical_s(kind, now_s)
+            typical_s = state.typical_s(work_kind(request), now_s)
             facts["typical_ms"] = round(typical_s * 1000)
             facts["target_ms"] = request.target_ms
         self._log.tell(now_s, request.request_id, "not_admitted", **facts)
--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -18,6 +18,7 @@
     decide,
     shed_before_body,
 )
+from comfreywharf.load.estimates import work_kind
 from comfreywharf.routing import Reason
 
 __all__ = ["Admission", "Slot"]
@@ -145,7 +146,7 @@
         arrived_s=now_s,
         alone=alone,
         rank=request.priority,
-        kind=(request.priority, request.repeatable),
+        kind=work_kind(request),
         target_s=target_s,
     )
     if request.target_ms == TARGET_PASSED_MS:
--- a/comfreywharf/load/estimates.py
+++ b/comfreywharf/load/estimates.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["ServiceTimes"]
+__all__ = ["ServiceTimes", "work_kind"]
 
 QUANTILE_STEP = 0.05
 """How far, relative to its value, a tracked quantile moves with one sample."""
@@ -20,6 +20,14 @@
 """How old the last gap may be for the drain rate to rest on it."""
 
 
+def work_kind(request):
+    """Return what requests have in common that take about the same time.
+
+    ``request`` is a `ForwardRequest`: its rank, and whether it may be repeated.
+    """
+    return request.priority, request.repeatable
+
+
 @attrs.define
 class ServiceTimes:
     """How long requests take, and how fast a backlog drains.
