Tell a server's late work under its earlier fence from a second owner

Cause: the check took any fence that goes down for two owners. Every record on a slice raises its owner's fence, also one that names another standby or divides the slice, while the owner, its lease and its server stay. Requests under the fence before that are at the server then end after the first one under the new fence. Ruled out: a lease that lapsed, a claim, a request sent under an old right. An effect under an older fence is still a violation where any other server has had an effect under a newer one, however early its request came, and where its own server got it after the newer fence's first effect. The first is more than was checked: only the newest owner was compared. The check is not narrower for two servers; for one server it asks what the rule asks. A server that checks fences refuses such work, which is a finding of its own.

--- a/comfreywharf_dev/failures/invariants.py
+++ b/comfreywharf_dev/failures/invariants.py
@@ -33,8 +33,12 @@
 
 @attrs.frozen(kw_only=True)
 class Effect:
-    """One line of the ledger; without ``key_hash`` its service has no owners."""
+    """One line of the ledger; without ``key_hash`` its service has no owners.
 
+    ``arrived_s`` is when its request reached the server, ``at_s`` when it took effect.
+    """
+
+    arrived_s: float
     at_s: float
     server: str
     service: str
@@ -111,20 +115,30 @@
     fence would apply an effect after the newer one's first, or both would use
     one fence. The first effect of each owner stands for its time of owning.
     """
-    newest = {}
+    owners_by_key = defaultdict(dict)
     for effect in sorted(effects, key=lambda one: one.at_s):
         if not effect.key_hash:
             continue
-        key = (effect.service, effect.key_hash)
-        last = newest.get(key)
-        if last and effect.server != last.server and effect.fence <= last.fence:
-            what = f"{effect} after {last}"
-            yield Violation(rule=Rule.ONE_OWNER, what=what)
-        elif last and effect.fence < last.fence:
-            what = f"fence went down: {effect} after {last}"
-            yield Violation(rule=Rule.ONE_OWNER, what=what)
+        owners = owners_by_key[effect.service, effect.key_hash]
+        newer = next(
+            (first for first in owners.values() if _rules_out(first, effect)), None
+        )
+        if newer is None:
+            owners.setdefault((effect.server, effect.fence), effect)
         else:
-            newest[key] = effect
+            what = f"{effect} after {newer}"
+            yield Violation(rule=Rule.ONE_OWNER, what=what)
+
+
+def _rules_out(first, effect):
+    """Return whether an owner's first effect rules out a later effect.
+
+    An owner's fence rises while it keeps a key, with a new standby for instance. What
+    has reached its server by then still ends under the fence before.
+    """
+    if first.server != effect.server:
+        return effect.fence <= first.fence
+    return effect.fence < first.fence and first.at_s < effect.arrived_s
 
 
 def _shared_fences(grants):
--- a/comfreywharf_dev/failures/tests/builders.py
+++ b/comfreywharf_dev/failures/tests/builders.py
@@ -38,8 +38,9 @@
 KEYS = tuple(f"calendar-{number}" for number in range(12))
 
 
-def effect(at_s, server, fence, request_id, key_hash="7"):
+def effect(at_s, server, fence, request_id, key_hash="7", arrived_s=None):
     return Effect(
+        arrived_s=at_s if arrived_s is None else arrived_s,
         at_s=at_s,
         server=server,
         service="booking",
--- a/comfreywharf_dev/failures/tests/test_invariants.py
+++ b/comfreywharf_dev/failures/tests/test_invariants.py
@@ -32,6 +32,17 @@
         [],
         [],
     ),
+    "a server's older owner after another server's": (
+        Rule.ONE_OWNER,
+        [
+            effect(1, "a", 4, "r1"),
+            effect(2, "b", 6, "r2"),
+            effect(3, "a", 8, "r3"),
+            effect(4, "a", 4, "r4", arrived_s=1),
+        ],
+        [],
+        [],
+    ),
     "ledger order hides it": (
         Rule.ONE_OWNER,
         [effect(3, "a", 4, "r3"), effect(1, "a", 4, "r1"), effect(2, "b", 6, "r2")],
@@ -85,8 +96,10 @@
 
 
 def test_what_is_allowed_is_not_reported():
-    """A hand-over, a resend after a loss, and a service without owners are fine."""
+    """A hand-over, a resend, a fence that rises, a service without owners are fine."""
     effects = [
+        effect(4, "a", 10, "r9"),
+        effect(5, "a", 8, "r10", arrived_s=3.5),
         effect(1, "a", 4, "r1"),
         effect(2, "b", 6, "r2"),
         effect(3, "a", 8, "r3"),
--- a/comfreywharf_dev/standins/backend.py
+++ b/comfreywharf_dev/standins/backend.py
@@ -242,6 +242,7 @@
         attempt = request.header("Comfreywharf-Attempt") or request_id
         _remember(self._applied, attempt, self._clock())
         self._ledger.append(
+            arrived_s=request.arrived_s,
             at_s=self._clock(),
             server=self.profile.name,
             service=self.profile.service,
--- a/comfreywharf_dev/standins/wsgi.py
+++ b/comfreywharf_dev/standins/wsgi.py
@@ -6,6 +6,8 @@
 import orjson
 from gevent import pywsgi, socket
 
+from comfreywharf.clock import boottime_s
+
 __all__ = ["Answer", "Request", "Streamed", "make_server", "serve_forever"]
 
 
@@ -48,6 +50,7 @@
     """One HTTP request, read from a WSGI environment."""
 
     def __init__(self, environ):
+        self.arrived_s = boottime_s()
         self.environ = environ
         self.method = environ["REQUEST_METHOD"]
         self.path = environ["PATH_INFO"]
