Print no traceback for each peer that can't be told of a crash

Cause: Gossip.push_to began greenlets of _exchange, which raises CallError when a peer doesn't answer; gevent prints what a greenlet raises, 28 lines each. Ruled out: a lost exchange; whoever waits for the greenlets asks only that they have ended. Before: test_telling_a_peer_that_is_gone_fails_quietly failed with the CallError of the peer. After: it passes; the greenlet ends with whether the peer answered, as in reach_all.

--- a/comfreywharf/daemon/belonging/gossip.py
+++ b/comfreywharf/daemon/belonging/gossip.py
@@ -91,7 +91,7 @@
         That is too late for news that decide what happens to the next request.
         """
         clients = [self._node.peers.client(node_id) for node_id in node_ids]
-        return [gevent.spawn(self._exchange, client) for client in clients if client]
+        return [gevent.spawn(self._reaches, client) for client in clients if client]
 
     def run(self):
         """Exchange until the greenlet is killed."""
@@ -150,6 +150,7 @@
         return {node_id for node_id, task in asked.items() if task.value}
 
     def _reaches(self, client):
+        """Exchange once; return whether the peer answered."""
         try:
             self._exchange(client)
         except CallError:
--- a/comfreywharf_dev/standins/tests/test_log_faults.py
+++ b/comfreywharf_dev/standins/tests/test_log_faults.py
@@ -163,3 +163,15 @@
         gevent.sleep(0.2)
         assert len(heard) == 6
         assert {notice.subject for notice in heard} == {"fingerprint"}
+
+
+def test_telling_a_peer_that_is_gone_fails_quietly():
+    """Guards against a traceback in the output for each peer that doesn't answer."""
+    with LogFleet() as fleet:
+        teller = fleet.start("a")
+        gone = fleet.start("b")
+        wait_for(lambda: "b" in teller.state.members)
+        gone.stop()
+        tellers = teller.gossip.push_to(["b"])
+        gevent.joinall(tellers)
+        assert [one.exception for one in tellers] == [None]
