Name apart what shortens a request's time, and what refuses a body

Cause: _is_too_late answered a question and shortened the request's time on the side; _is_refused_before_body set the refusal that it was asked for. Before and after: the same decisions, in the same order; 852 tests without processes pass. Conclusion: kept; two names fewer that a reader has to distrust.

--- a/comfreywharf/daemon/requests/forward_calls.py
+++ b/comfreywharf/daemon/requests/forward_calls.py
@@ -36,7 +36,8 @@
 
     def forward(self, request):
         """Serve a request whose key this node owns."""
-        if self._is_too_late(request):
+        self._take_off_transit(request)
+        if request.remaining_ms <= 0:
             return refusal(Reason.DEADLINE_BEFORE_START)
         served = self._node.forwarder.serve(request, request.body, boottime_s())
         return self._reply(served)
@@ -44,7 +45,8 @@
     def open_upload(self, request):
         """Begin a request whose body follows once it is wanted."""
         upload = Upload()
-        if self._is_too_late(request):
+        self._take_off_transit(request)
+        if request.remaining_ms <= 0:
             upload.finish(StreamedReply(refusal(Reason.DEADLINE_BEFORE_START)))
         else:
             gevent.spawn(self._serve_upload, request, upload, boottime_s())
@@ -53,17 +55,17 @@
         gevent.spawn_later(kept_s, self._uploads.remove, number)
         return UploadOpened(stream_id=number, wanted=upload.await_demand())
 
-    def _is_too_late(self, request):
-        """Take the time on its way off a request's own; return whether none is left.
+    def _take_off_transit(self, request):
+        """Take the time that a request spent in queues on its way off its own.
 
-        Its caller has gone by then, and the cancellation may be on its way behind it.
+        Where none is left, its caller has gone, and the cancellation may be on its way
+        behind it.
         """
         if not request.sent_ms:
-            return False
+            return
         transits = self._transits.setdefault(request.ingress_node_id, TransitTimes())
         queued_s = transits.queued_s(request.sent_ms / 1000, boottime_s())
         request.remaining_ms -= max(0, int((queued_s - TRANSIT_MARGIN_S) * 1000))
-        return request.remaining_ms <= 0
 
     def _serve_upload(self, request, upload, now_s):
         try:
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -139,24 +139,17 @@
         There is room for the next body once the stack is left.
         """
         ahead = self._collecting.waiting
-        if self._is_refused_before_body(slot, running, admission, ahead):
+        slot.refused = _refusal_before_body(slot, running, admission, ahead)
+        if slot.refused is not None:
             return
         self._lay_down(running)
         stack.enter_context(self._collecting.room(running.deadline_s))
-        if self._is_refused_before_body(slot, running, admission, 0):
+        slot.refused = _refusal_before_body(slot, running, admission, 0)
+        if slot.refused is not None:
             return
         size_bytes = slot.request.body_bytes
         slot.body = collect(slot.body, size_bytes, running.deadline_s)
 
-    def _is_refused_before_body(self, slot, running, admission, ahead):
-        if running.cancelled:
-            slot.refused = refusal(Reason.CALLER_GONE_BEFORE_START)
-        else:
-            slot.refused = admission.refuse_before_body(
-                slot.request, running.deadline_s, ahead, boottime_s()
-            )
-        return slot.refused is not None
-
     def _count_shed(self, service):
         self._shed_count += 1
         now_s = boottime_s()
@@ -312,3 +305,12 @@
 
 def _is_marked(request):
     return any(header.name == SUSPECT_HEADER for header in request.headers)
+
+
+def _refusal_before_body(slot, running, admission, ahead):
+    """Return why a request's body isn't sent for, with so many ahead, or ``None``."""
+    if running.cancelled:
+        return refusal(Reason.CALLER_GONE_BEFORE_START)
+    return admission.refuse_before_body(
+        slot.request, running.deadline_s, ahead, boottime_s()
+    )
