--- /dev/null
+++ b/comfreywharf/ownership/tests/lives_events.py
@@ -0,0 +1,179 @@
+"""What may happen next in the small world of `lives_model`."""
+
+from comfreywharf.ownership.tests.lives_parts import LONG_AGO, NAMES, PLACE, other
+
+__all__ = ["Event", "NextEvents"]
+
+
+class Event:
+    """A step: which method of the `World` it is, and whether it is a trouble."""
+
+    __slots__ = ("text", "method", "arguments", "trouble", "both")
+
+    def __init__(self, text, method, *arguments, trouble=0, both=False):
+        self.text = text
+        self.method = method
+        self.arguments = arguments
+        self.trouble = trouble
+        self.both = both
+
+
+class NextEvents:
+    """The events that may come next in a world, within the bounds of a search."""
+
+    def __init__(self, world, limits):
+        self._world = world
+        self._limits = limits
+
+    def __iter__(self):
+        left = self._limits.troubles - self._world.troubles
+        for event in self._all():
+            if event.trouble <= left and self._is_wanted(event):
+                yield event
+
+    def _is_wanted(self, event):
+        name = event.arguments[0]
+        if event.method == "restart" and not self._limits.restarts:
+            return False
+        calm = name in NAMES and name not in self._limits.detailed
+        return not calm or not event.trouble or event.method == "move"
+
+    def _all(self):
+        for name in NAMES:
+            yield from self._node_events(name)
+            yield from self._server_events(name)
+            yield from self._lease_events(name)
+        yield from self._move_events()
+        if self._world.now < self._limits.ticks:
+            yield from self._tick_events()
+
+    def _node_events(self, name):
+        node, life = self._world.nodes[name], self._world.lives[name]
+        if node.known is not None:
+            if life and len(node.connections) < self._limits.connections:
+                yield Event(f"{name} connects to life {life.number}", "connect", name)
+            if not life:
+                yield Event(f"{name} is refused by the port", "refused", name)
+        if life and node.known != life.number:
+            yield Event(f"{name} hears of life {life.number}", "announce", name)
+        yield Event(f"{name}'s process restarts", "restart", name, trouble=1)
+        yield from self._connection_events(name)
+        if self._world.may_push(name):
+            yield from self._push_events(name)
+        for index, sending in enumerate(node.sendings):
+            yield from self._sending_events(name, index, sending)
+
+    def _connection_events(self, name):
+        for number in self._world.nodes[name].idle:
+            text = f"{name}'s connection {number}"
+            if self._world.leads_to_living(name, number):
+                yield Event(f"{text} is reset", "close", name, number, trouble=1)
+            else:
+                yield Event(f"{text} is seen to have ended", "close", name, number)
+
+    def _push_events(self, name):
+        """Yield how far an order gets at once, on each of the connections."""
+        node = self._world.nodes[name]
+        if not self._world.will_decide(name):
+            yield Event(f"{name} asks for a new lease", "push", name)
+            return
+        yield Event(f"{name} decides on an order", "push", name, trouble=1)
+        for number in node.idle:
+            if not node.bond.knows(number):
+                continue
+            led = node.connections[number]
+            text = f"{name} sends an order on connection {number} to life {led}"
+            if not self._world.leads_to_living(name, number):
+                yield Event(text, "push", name, number)
+                continue
+            yield Event(f"{text}, it is answered", "push", name, number, 3)
+            yield Event(
+                f"{text}, it is carried out", "push", name, number, 2, trouble=1
+            )
+            yield Event(text, "push", name, number, trouble=1)
+
+    def _sending_events(self, name, index, sending):
+        node = self._world.nodes[name]
+        if sending.connection < 0:
+            for number in node.idle:
+                if node.bond.knows(number):
+                    led = node.connections[number]
+                    text = (
+                        f"{name} sends its order on connection {number} to life {led}"
+                    )
+                    yield Event(text, "send", name, index, number)
+            return
+        if sending.answer is not None:
+            yield Event(f"{name} reads the answer", "answer", name, index)
+        lost = f"{name} gives its order up for lost"
+        trouble = int(self._world.leads_to_living(name, sending.connection))
+        yield Event(lost, "lose", name, index, trouble=trouble)
+
+    def _server_events(self, name):
+        life = self._world.lives[name]
+        if life is None:
+            yield Event(
+                f"life {self._world.begun[name] + 1} begins at {name}", "begin", name
+            )
+            return
+        if self._world.begun[name] < self._limits.lives[NAMES.index(name)]:
+            text = f"life {life.number} at {name} crashes"
+            yield Event(text, "crash", name, trouble=1)
+        for index in range(len(life.inbox)):
+            text = f"life {life.number} at {name} carries an order out"
+            yield Event(text, "carry_out", name, index)
+
+    def _lease_events(self, name):
+        node, rival = self._world.nodes[name], other(name)
+        if not node.held and node.known is not None:
+            earlier_until = self._world.kept_until[name] if node.fresh else LONG_AGO
+            if max(self._world.taken_until[name], earlier_until) <= self._world.now:
+                yield Event(f"{name}'s lease begins anew", "begin_lease", name)
+        concerned = rival in (self._world.owner, self._world.previous)
+        if concerned and self._world.owns(name) and not node.claims:
+            if self._world.kept_until[rival] <= self._world.now:
+                yield Event(f"{name} claims {rival}'s lease", "claim", name, both=True)
+        if self._world.owner == rival and self._world.claims(name):
+            yield Event(f"{name}'s takeover is recorded", "record", name)
+
+    def _move_events(self):
+        owner, previous = self._world.owner, self._world.previous
+        if not previous:
+            text = f"the slice moves from {owner}"
+            yield Event(text, "move", owner, trouble=1)
+        elif previous != owner and self._world.owns(owner):
+            node = self._world.nodes[previous]
+            if node.stopped != self._world.epoch and node.held:
+                yield Event(f"{previous} stops for a release", "stop", previous)
+            elif node.stopped != self._world.epoch:
+                return
+            elif not node.released and self._may_release(previous):
+                yield Event(f"{previous}'s server releases", "release", previous)
+            elif node.released and not self._awaits_lost(previous):
+                yield Event(f"{owner} is told of the release", "hand_over", previous)
+
+    def _may_release(self, name):
+        book = self._world.nodes[name].book
+        if book.is_asked(*PLACE):
+            return False
+        over = self._world.now >= book.held_until_s(*PLACE)
+        return over or (
+            self._world.nodes[name].known is not None and self._world.lives[name]
+        )
+
+    def _awaits_lost(self, name):
+        return self._world.now < self._world.nodes[name].book.lost_until_s(*PLACE)
+
+    def _tick_events(self):
+        renewing = tuple(name for name in NAMES if self._may_renew(name))
+        yield Event("a tick, all leases renewed", "tick", renewing, both=True)
+        for name in renewing:
+            left = tuple(kept for kept in renewing if kept != name)
+            text = f"a tick, {name}'s lease isn't renewed"
+            yield Event(text, "tick", left, both=True, trouble=1)
+
+    def _may_renew(self, name):
+        return (
+            self._world.nodes[name].held
+            and self._world.taken_until[name] <= self._world.now
+        )
--- a/comfreywharf/ownership/tests/lives_model.py
+++ b/comfreywharf/ownership/tests/lives_model.py
@@ -20,10 +20,9 @@
 delay is one step and no trouble.
 """
 
-import attrs
-
 from comfreywharf.ownership.bond import ProcessBond
 from comfreywharf.ownership.holds import GrantAnswer, HoldBook
+from comfreywharf.ownership.tests.lives_events import NextEvents
 from comfreywharf.ownership.tests.lives_parts import (
     LEASE,
     LONG_AGO,
@@ -34,7 +33,6 @@
     UNAWAITED,
     Breach,
     Life,
-    Limits,
     Node,
     Sending,
     copy_book,
@@ -43,20 +41,7 @@
     slice_of,
 )
 
-__all__ = ["Breach", "Limits", "World", "search"]
-
-
-class Event:
-    """A step: which method of the `World` it is, and whether it is a trouble."""
-
-    __slots__ = ("text", "method", "arguments", "trouble", "both")
-
-    def __init__(self, text, method, *arguments, trouble=0, both=False):
-        self.text = text
-        self.method = method
-        self.arguments = arguments
-        self.trouble = trouble
-        self.both = both
+__all__ = ["World"]
 
 
 class World:
@@ -139,159 +124,15 @@
         until = self.nodes[name].lease_until
         return [(SERVICE, slice_of(self.epoch), fence, until)]
 
-    # Which events may come.
-
     def events(self, limits):
-        """Yield what may happen next."""
-        left = limits.troubles - self.troubles
-        for event in self._all_events(limits):
-            if event.trouble <= left and self._is_wanted(event, limits):
-                yield event
-
-    def _is_wanted(self, event, limits):
-        name = event.arguments[0]
-        if event.method == "restart" and not limits.restarts:
-            return False
-        calm = name in NAMES and name not in limits.detailed
-        return not calm or not event.trouble or event.method == "move"
+        """Return what may happen next."""
+        return NextEvents(self, limits)
 
-    def _all_events(self, limits):
-        for name in NAMES:
-            yield from self._node_events(name, limits)
-            yield from self._server_events(name, limits)
-            yield from self._lease_events(name)
-        yield from self._move_events()
-        if self.now < limits.ticks:
-            yield from self._tick_events()
-
-    def _node_events(self, name, limits):
-        node, life = self.nodes[name], self.lives[name]
-        if node.known is not None:
-            if life and len(node.connections) < limits.connections:
-                yield Event(f"{name} connects to life {life.number}", "connect", name)
-            if not life:
-                yield Event(f"{name} is refused by the port", "refused", name)
-        if life and node.known != life.number:
-            yield Event(f"{name} hears of life {life.number}", "announce", name)
-        yield Event(f"{name}'s process restarts", "restart", name, trouble=1)
-        yield from self._connection_events(name)
-        if self.may_push(name):
-            yield from self._push_events(name)
-        for index, sending in enumerate(node.sendings):
-            yield from self._sending_events(name, index, sending)
-
-    def _connection_events(self, name):
-        for number in self.nodes[name].idle:
-            text = f"{name}'s connection {number}"
-            if self._leads_to_living(name, number):
-                yield Event(f"{text} is reset", "close", name, number, trouble=1)
-            else:
-                yield Event(f"{text} is seen to have ended", "close", name, number)
-
-    def _leads_to_living(self, name, number):
+    def leads_to_living(self, name, number):
+        """Return whether a connection leads to the life that there is."""
         life = self.lives[name]
         return life is not None and life.number == self.nodes[name].connections[number]
 
-    def _push_events(self, name):
-        """Yield how far an order gets at once, on each of the connections."""
-        node = self.nodes[name]
-        if not self._will_decide(name):
-            yield Event(f"{name} asks for a new lease", "push", name)
-            return
-        yield Event(f"{name} decides on an order", "push", name, trouble=1)
-        for number in node.idle:
-            if not node.bond.knows(number):
-                continue
-            led = node.connections[number]
-            text = f"{name} sends an order on connection {number} to life {led}"
-            if not self._leads_to_living(name, number):
-                yield Event(text, "push", name, number)
-                continue
-            yield Event(f"{text}, it is answered", "push", name, number, 3)
-            yield Event(
-                f"{text}, it is carried out", "push", name, number, 2, trouble=1
-            )
-            yield Event(text, "push", name, number, trouble=1)
-
-    def _sending_events(self, name, index, sending):
-        node = self.nodes[name]
-        if sending.connection < 0:
-            for number in node.idle:
-                if node.bond.knows(number):
-                    led = node.connections[number]
-                    text = (
-                        f"{name} sends its order on connection {number} to life {led}"
-                    )
-                    yield Event(text, "send", name, index, number)
-            return
-        if sending.answer is not None:
-            yield Event(f"{name} reads the answer", "answer", name, index)
-        lost = f"{name} gives its order up for lost"
-        trouble = int(self._leads_to_living(name, sending.connection))
-        yield Event(lost, "lose", name, index, trouble=trouble)
-
-    def _server_events(self, name, limits):
-        life = self.lives[name]
-        if life is None:
-            yield Event(f"life {self.begun[name] + 1} begins at {name}", "begin", name)
-            return
-        if self.begun[name] < limits.lives[NAMES.index(name)]:
-            text = f"life {life.number} at {name} crashes"
-            yield Event(text, "crash", name, trouble=1)
-        for index in range(len(life.inbox)):
-            text = f"life {life.number} at {name} carries an order out"
-            yield Event(text, "carry_out", name, index)
-
-    def _lease_events(self, name):
-        node, rival = self.nodes[name], other(name)
-        if not node.held and node.known is not None:
-            earlier_until = self.kept_until[name] if node.fresh else LONG_AGO
-            if max(self.taken_until[name], earlier_until) <= self.now:
-                yield Event(f"{name}'s lease begins anew", "begin_lease", name)
-        concerned = rival in (self.owner, self.previous)
-        if concerned and self.owns(name) and not node.claims:
-            if self.kept_until[rival] <= self.now:
-                yield Event(f"{name} claims {rival}'s lease", "claim", name, both=True)
-        if self.owner == rival and self.claims(name):
-            yield Event(f"{name}'s takeover is recorded", "record", name)
-
-    def _move_events(self):
-        owner, previous = self.owner, self.previous
-        if not previous:
-            text = f"the slice moves from {owner}"
-            yield Event(text, "move", owner, trouble=1)
-        elif previous != owner and self.owns(owner):
-            node = self.nodes[previous]
-            if node.stopped != self.epoch and node.held:
-                yield Event(f"{previous} stops for a release", "stop", previous)
-            elif node.stopped != self.epoch:
-                return
-            elif not node.released and self._may_release(previous):
-                yield Event(f"{previous}'s server releases", "release", previous)
-            elif node.released and not self._awaits_lost(previous):
-                yield Event(f"{owner} is told of the release", "hand_over", previous)
-
-    def _may_release(self, name):
-        book = self.nodes[name].book
-        if book.is_asked(*PLACE):
-            return False
-        over = self.now >= book.held_until_s(*PLACE)
-        return over or (self.nodes[name].known is not None and self.lives[name])
-
-    def _awaits_lost(self, name):
-        return self.now < self.nodes[name].book.lost_until_s(*PLACE)
-
-    def _tick_events(self):
-        renewing = tuple(name for name in NAMES if self._may_renew(name))
-        yield Event("a tick, all leases renewed", "tick", renewing, both=True)
-        for name in renewing:
-            left = tuple(kept for kept in renewing if kept != name)
-            text = f"a tick, {name}'s lease isn't renewed"
-            yield Event(text, "tick", left, both=True, trouble=1)
-
-    def _may_renew(self, name):
-        return self.nodes[name].held and self.taken_until[name] <= self.now
-
     # Events of a node, as `RangeGrants` and its pool have them.
 
     def connect(self, name):
@@ -333,7 +174,8 @@
             return True
         return bool(copy_book(node.book).due(served, self.now))
 
-    def _will_decide(self, name):
+    def will_decide(self, name):
+        """Return whether a look would decide on an order."""
         node = self.nodes[name]
         book = copy_book(node.book)
         if node.met not in (None, node.bond.process):
@@ -585,45 +427,3 @@
     while number in numbers:
         number += 1
     return number
-
-
-@attrs.define
-class Found:
-    """What a search found: the number of states, and the shortest way to a breach."""
-
-    states: int = 0
-    breach: str = ""
-    events: tuple = ()
-
-
-def search(limits, world_type=World):
-    """Search all worlds that so many steps lead to; stop at the first breach."""
-    found = Found(states=1)
-    first = world_type()
-    seen = {first.key()}
-    layer = [(first, None)]
-    for _ in range(limits.steps):
-        following = []
-        for world, path in layer:
-            for event in world.events(limits):
-                further = (path, event.text)
-                try:
-                    after = world.after(event)
-                except Breach as breach:
-                    found.breach, found.events = str(breach), _listed(further)
-                    return found
-                key = after.key()
-                if key not in seen:
-                    seen.add(key)
-                    found.states += 1
-                    following.append((after, further))
-        layer = following
-    return found
-
-
-def _listed(path):
-    events = []
-    while path:
-        path, text = path
-        events.append(text)
-    return tuple(reversed(events))
--- a/comfreywharf/ownership/tests/test_lives_search.py
+++ b/comfreywharf/ownership/tests/test_lives_search.py
@@ -18,8 +18,9 @@
 
 from comfreywharf.ownership.bond import ProcessBond
 from comfreywharf.ownership.holds import HoldBook
-from comfreywharf.ownership.tests import lives_model
-from comfreywharf.ownership.tests.lives_model import Limits, World, search
+from comfreywharf.ownership.tests.lives_model import World
+from comfreywharf.ownership.tests.lives_parts import LONG_AGO, Limits
+from comfreywharf.ownership.tests.lives_search import search
 
 CRASHES = Limits(steps=7, troubles=2, lives=(3, 1), detailed=("a",))
 LOSSES = Limits(
@@ -54,7 +55,7 @@
 
 
 def anew_at_once(self, name):
-    self._surrender(name, lives_model.LONG_AGO)
+    self._surrender(name, LONG_AGO)
 
 
 def sized_when_decided(self, order):
@@ -62,7 +63,7 @@
 
 
 def never(self, *place):
-    return lives_model.LONG_AGO
+    return LONG_AGO
 
 
 def not_asked(self, *place):
