--- /dev/null
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -0,0 +1,273 @@
+"""One node of the small world: its clock, its fold, its agent and its witness."""
+
+from comfreywharf.ownership import (
+    Append,
+    AskRelease,
+    LeaseTerms,
+    OwnershipAgent,
+    OwnerView,
+    SendClaim,
+    SendRenewal,
+    SendUnclaim,
+    Witness,
+)
+from comfreywharf.records import ClusterState, NodeAnnounced, fold
+
+__all__ = ["DRIFT", "SERVICE", "SimNode"]
+
+SERVICE = "booking"
+DRIFT = 0.2
+TERMS = LeaseTerms(lease_s=1.0, drift=DRIFT, replace_witness_after_s=2.0)
+LONGEST_S = 3.0
+DOMAINS = ("agenskalns", "teika", "purvciems")
+
+
+class SimNode:
+    """A node that a `World` drives, and that sends and appends through it."""
+
+    def __init__(self, world, node_id, rate):
+        self.world = world
+        self.node_id = node_id
+        self.rate = rate
+        self.offset_s = 1000.0 * rate
+        self.incarnation = 0
+        self.frozen = False
+        self.backend_up = True
+        self.reads_log = True
+        self.appends = True
+        self.pending = []
+        self.restart()
+
+    def now_s(self):
+        return self.offset_s + self.world.real_s * self.rate
+
+    def set_rate(self, rate):
+        """Let the clock run faster or slower from now on."""
+        self.offset_s = self.now_s() - self.world.real_s * rate
+        self.rate = rate
+
+    def restart(self):
+        """Begin anew with an empty memory."""
+        self.incarnation += 1
+        self.state = ClusterState()
+        self.agent = OwnershipAgent(
+            self.node_id,
+            self.incarnation,
+            TERMS,
+            self.world.make_id,
+            fenced=self.world.fenced,
+        )
+        self.witness = None
+        self.caught_up = False
+        self.announced = False
+        self.asking = {}
+        self.frozen = False
+
+    def alive(self, incarnation):
+        return self.incarnation == incarnation and not self.frozen
+
+    def fold_some(self, count):
+        """Fold up to ``count`` records that the log holds."""
+        log = self.world.log
+        for offset in range(self.state.next_offset, len(log))[:count]:
+            result = fold(self.state, offset, log[offset])
+            self.agent.folded(self.state, log[offset], result, self.now_s())
+        if not self.caught_up and self.state.next_offset == len(log):
+            self.caught_up = True
+            self.witness = Witness(TERMS, self.now_s(), self.incarnation)
+
+    def tick(self, forced=False):
+        """Let the agent act, and the witness tell of lapses."""
+        if self.frozen or not self.caught_up:
+            return
+        self._announce()
+        self._read_back()
+        now_s = self.now_s()
+        self.agent.inflight.expire(now_s)
+        self.carry_out(self.agent.tick(self.state, now_s, self.backend_up, forced))
+        self._ask_releases()
+        self._tell_lapses(now_s)
+
+    def _announce(self):
+        if self.announced:
+            return
+        self.announced = True
+        index = sorted(self.world.nodes).index(self.node_id)
+        self.world.append(
+            self,
+            NodeAnnounced(
+                record_id=self.world.make_id(),
+                node_id=self.node_id,
+                incarnation=self.incarnation,
+                host="127.0.0.1",
+                caller_port=1,
+                peer_port=2,
+                operator_port=3,
+                failure_domain=DOMAINS[index % 3],
+                region="riga",
+                service=SERVICE,
+                checks_fences=self.world.fenced,
+            ),
+        )
+
+    def carry_out(self, actions):
+        for action in actions:
+            if isinstance(action, SendRenewal):
+                self._send_renewal(action)
+            elif isinstance(action, SendClaim):
+                self._send_claim(action)
+            elif isinstance(action, SendUnclaim):
+                self.world.send(
+                    self.node_id,
+                    action.witness,
+                    lambda node, claim=action.claim: node.on_unclaim(claim),
+                )
+            elif isinstance(action, Append):
+                self.world.append(self, action.record)
+                self.pending.append((self.incarnation, action, self.world.real_s))
+            elif isinstance(action, AskRelease):
+                self.asking[action.key] = action.previous
+
+    def _send_renewal(self, action):
+        incarnation = self.incarnation
+
+        def ask(node):
+            grant = node.on_renewal(action.renewal)
+            if grant is not None and grant.granted:
+                self.world.send(node.node_id, self.node_id, lambda me: answer(grant))
+
+        def answer(grant):
+            if self.alive(incarnation):
+                number = action.renewal.round
+                self.carry_out(
+                    self.agent.renewed(action.witness, number, grant.term, self.now_s())
+                )
+
+        self.world.send(self.node_id, action.witness, ask)
+
+    def _send_claim(self, action):
+        incarnation = self.incarnation
+
+        def ask(node):
+            grant = node.on_claim(action.claim)
+            if grant is not None:
+                self.world.send(node.node_id, self.node_id, lambda me: answer(grant))
+
+        def answer(grant):
+            if self.alive(incarnation):
+                claim = action.claim
+                if not grant.granted:
+                    self.carry_out(
+                        self.agent.claim_denied(
+                            claim.owner_id, grant.denial, self.now_s()
+                        )
+                    )
+                    return
+                self.carry_out(
+                    self.agent.claimed(
+                        claim.owner_id,
+                        action.witness,
+                        claim.round,
+                        grant.term,
+                        self.now_s(),
+                    )
+                )
+
+        self.world.send(self.node_id, action.witness, ask)
+
+    def _read_back(self):
+        """Tell the agent of appended records that the fold has reached."""
+        waiting, self.pending = self.pending, []
+        for incarnation, action, since_s in waiting:
+            if incarnation != self.incarnation:
+                continue
+            outcome = self.state.outcomes.get(action.record.record_id)
+            if outcome is None and self.world.real_s < since_s + 2.0:
+                self.pending.append((incarnation, action, since_s))
+                continue
+            self.carry_out(
+                self.agent.appended(self.state, action.purpose, outcome, self.now_s())
+            )
+
+    def _ask_releases(self):
+        for key, previous in list(self.asking.items()):
+            if not self.agent.awaits(self.state, key, self.now_s()):
+                self.agent.stop_asking(key)
+                del self.asking[key]
+                continue
+            self._ask_release(key, previous)
+
+    def _ask_release(self, key, previous):
+        incarnation = self.incarnation
+
+        def ask(node):
+            decision = node.on_release(key)
+            if decision is not None and decision.released:
+                self.world.send(node.node_id, self.node_id, lambda me: answer())
+
+        def answer():
+            if self.alive(incarnation) and key in self.asking:
+                del self.asking[key]
+                self.carry_out(self.agent.released(key, True, self.now_s()))
+
+        self.world.send(self.node_id, previous, ask)
+
+    def _tell_lapses(self, now_s):
+        watched = [
+            m.node_id
+            for m in self.state.members.values()
+            if any(self.node_id in group for group in m.witness_groups)
+        ]
+        for owner_id in self.witness.lapsed(watched, now_s):
+            for node_id in self.world.nodes:
+                self.world.send(
+                    self.node_id,
+                    node_id,
+                    lambda node, owner_id=owner_id: node.on_lapsed(owner_id),
+                )
+
+    def view(self, owner_id):
+        member = self.state.members.get(owner_id)
+        if self.witness is None or member is None:
+            return None
+        return OwnerView(
+            incarnation=member.incarnation,
+            lease_epoch=member.lease_epoch,
+            lease_incarnation=member.lease_incarnation,
+            portfolio_epoch=member.portfolio_epoch,
+            checks_fences=self.world.fenced,
+        )
+
+    def on_renewal(self, renewal):
+        view = self.view(renewal.owner_id)
+        if view is None:
+            return None
+        return self.witness.renew(renewal, view, LONGEST_S, self.now_s())
+
+    def on_claim(self, claim):
+        view = self.view(claim.owner_id)
+        if view is None:
+            return None
+        return self.witness.claim(claim, view, LONGEST_S, self.now_s())
+
+    def on_unclaim(self, claim):
+        if self.witness is not None:
+            self.witness.unclaim(claim, self.now_s())
+
+    def on_lapsed(self, owner_id):
+        if self.caught_up:
+            self.carry_out(self.agent.lapsed(self.state, owner_id, self.now_s()))
+
+    def on_release(self, key):
+        if not self.caught_up:
+            return None
+        decision = self.agent.decide_release(
+            self.state, key.service, key.start, key.epoch, self.now_s()
+        )
+        if decision.tell_witnesses:
+            self.carry_out(
+                self.agent.tick(self.state, self.now_s(), self.backend_up, True)
+            )
+        if decision.released:
+            self.world.released(self.node_id, key)
+        return decision
--- a/comfreywharf/ownership/tests/test_witness_groups.py
+++ b/comfreywharf/ownership/tests/test_witness_groups.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from comfreywharf.ownership.tests import builders
+from comfreywharf.ownership.tests import sim_node
 from comfreywharf.ownership.tests.builders import KEYS, make_world
 
 KEY = KEYS[0]
@@ -10,8 +10,8 @@
 
 def five(monkeypatch, count):
     """Return a world whose leases have five witnesses where there are enough."""
-    terms = attrs.evolve(builders.TERMS, witnesses=5)
-    monkeypatch.setattr(builders, "TERMS", terms)
+    terms = attrs.evolve(sim_node.TERMS, witnesses=5)
+    monkeypatch.setattr(sim_node, "TERMS", terms)
     return make_world(count=count)
 
 
--- a/comfreywharf/platform/tests/test_witness_terms.py
+++ b/comfreywharf/platform/tests/test_witness_terms.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from comfreywharf.ownership.tests import builders
+from comfreywharf.ownership.tests import sim_node
 from comfreywharf.ownership.tests.builders import KEYS, STEP_S, make_world
 from comfreywharf.platform import ports
 
@@ -15,12 +15,12 @@
     Sequence: two of its five witnesses go for good, and a third two seconds later.
     Cause: the two were replaced only 3.5 s after they had gone."""
     terms = attrs.evolve(
-        builders.TERMS,
+        sim_node.TERMS,
         lease_s=1.5,
         witnesses=ports.WITNESSES,
         replace_witness_after_s=ports.REPLACE_WITNESS_AFTER_S,
     )
-    monkeypatch.setattr(builders, "TERMS", terms)
+    monkeypatch.setattr(sim_node, "TERMS", terms)
     world = make_world(count=10)
     owner = world.role("owner", KEY)
     witnesses = world.witnesses_of(KEY)
