--- a/comfreywharf_dev/bench/routes_in_force.py
+++ b/comfreywharf_dev/bench/routes_in_force.py
@@ -39,8 +39,8 @@
 _IN_FORCE = re.compile(rb' routes_in_force .* version=(\d+) source="?([^"\s]+)')
 
 
-class RoutesWatch:
-    """One node's process, and when it said which version was in force."""
+class NodeProcess:
+    """A node, its backend server, and when which version of the routes was in force."""
 
     def __init__(self, name, folder, store_port):
         self.ports = free_ports()
@@ -110,7 +110,7 @@
         """Start nodes until there are so many, and wait until they know the routes."""
         while len(self.nodes) < size:
             name = f"n{len(self.nodes)}"
-            self.nodes.append(RoutesWatch(name, self._folder, self._store.port))
+            self.nodes.append(NodeProcess(name, self._folder, self._store.port))
         self._wait_in_force(self._put(), START_WITHIN_S)
         gevent.sleep(SETTLE_S)
 
