Play seeded runs of drawn faults on real processes

Cause: the process tests provoke one named failure each; nothing overlapped them. Before: no soak. After: python -m comfreywharf_dev.soak (make soak SEEDS=1-50): six nodes with their servers, the log and the proxy as processes, callers that go on; ten faults of twelve kinds in twelve seconds, drawn from the seed, overlapping, no two at one VM, the links or the log at a time. Half of the seeds have servers that check fences.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo check test lint bench report gen clean
+.PHONY: demo check test soak lint bench report gen clean
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,12 @@
 	$(BIN)/pytest -n 4 --dist loadfile -m "not processes"
 	$(BIN)/pytest -m processes
 
+# Runs of drawn faults, one a seed.
+SEEDS ?= 1-50
+
+soak: $(VENV)/ready
+	$(BIN)/python -m comfreywharf_dev.soak --seeds $(SEEDS)
+
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/comfreywharf_dev/soak/__main__.py
@@ -0,0 +1,54 @@
+"""The command: ``python -m comfreywharf_dev.soak --seeds 1-50``."""
+
+import sys
+from pathlib import Path
+
+from cyclopts import App
+
+from comfreywharf_dev.soak.run import Extent, run_seed
+
+FOLDER = Path("run/soak")
+
+app = App(name="comfreywharf-soak", help="Play seeded runs of faults.")
+
+
+@app.default
+def play(
+    *, seeds: str = "1-50", nodes: int = 6, faults: int = 10, folder: Path = FOLDER
+):
+    """Play the seeds, one run after the other; exit 1 if a promise broke.
+
+    Parameters
+    ----------
+    seeds
+        One seed, or the first and the last: ``7`` or ``1-50``.
+    nodes
+        Nodes of a run, each with a backend server.
+    faults
+        Faults of a run.
+    folder
+        Where runs keep their files; those of a broken one stay.
+    """
+    first, _, last = seeds.partition("-")
+    extent = Extent(nodes=nodes, slices=2 * nodes, faults=faults)
+    broken = 0
+    for seed in range(int(first), int(last or first) + 1):
+        outcome = run_seed(seed, folder / str(seed), extent)
+        broken += not outcome.passed
+        _print(outcome)
+    sys.exit(1 if broken else 0)
+
+
+def _print(outcome):
+    verdict = "kept" if outcome.passed else "BROKEN"
+    print(f"seed {outcome.seed}: {verdict}, {outcome.answered} answered", flush=True)
+    if outcome.passed:
+        return
+    for one in outcome.timed:
+        print(f"  {one.begin_s:6.2f} to {one.end_s:6.2f} s  {one.fault}")
+    for found in outcome.found:
+        print(f"  {found}")
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/comfreywharf_dev/soak/plan.py
@@ -0,0 +1,72 @@
+"""Which faults a run has, and when: drawn from a seed, without a clock."""
+
+import random
+
+import attrs
+
+from comfreywharf_dev.soak import faults
+from comfreywharf_dev.standins.deployments import RIGA_DOMAINS
+
+__all__ = ["Timed", "draw_faults"]
+
+SHORTEST_S = 0.2
+LONGEST_S = 3.0
+VM_FAULTS = (
+    faults.NodeFrozen,
+    faults.NodeKilled,
+    faults.NodeStopped,
+    faults.ServerFrozen,
+    faults.ServerKilled,
+    faults.VmKilled,
+)
+LOG_FAULTS = (
+    ((("down", True),), (("down", False),)),
+    ((("slow_s", 0.7),), (("slow_s", 0.0),)),
+    ((("lose_answers", 3),), (("lose_answers", 0),)),
+)
+CLOCK_OFFSETS_S = (-3600.0, -2.0, 2.0, 3600.0)
+MOST_ANSWERS_LOST = 4
+
+
+@attrs.frozen
+class Timed:
+    """A fault from ``begin_s`` to ``end_s`` after the run's begin."""
+
+    begin_s: float
+    end_s: float
+    fault: faults.Fault
+
+
+def draw_faults(seed, node_ids, count, duration_s):
+    """Return the `Timed` faults of a run, the earliest first.
+
+    They overlap, but no two touch the same VM, the links, or the log at a time.
+
+    >>> timed = draw_faults(1, ("a", "b"), count=5, duration_s=10.0)
+    >>> timed == draw_faults(1, ("a", "b"), count=5, duration_s=10.0)
+    True
+    """
+    rng = random.Random(seed)
+    free_s = {}
+    timed = []
+    for begin_s in sorted(rng.uniform(0.0, duration_s) for _ in range(count)):
+        fault = _draw(rng, node_ids)
+        begin_s = max(begin_s, free_s.get(fault.touched, 0.0))
+        end_s = begin_s + rng.uniform(SHORTEST_S, LONGEST_S)
+        free_s[fault.touched] = end_s
+        timed.append(Timed(begin_s, end_s, fault))
+    return sorted(timed, key=lambda one: one.begin_s)
+
+
+def _draw(rng, node_ids):
+    node_id = rng.choice(node_ids)
+    draws = (
+        *(lambda kind=kind: kind(node_id) for kind in VM_FAULTS),
+        lambda: faults.ClockJumped(node_id, rng.choice(CLOCK_OFFSETS_S)),
+        lambda: faults.DomainCut(rng.choice(RIGA_DOMAINS)),
+        lambda: faults.NodeSilenced(node_id),
+        lambda: faults.LinksReset(node_id),
+        lambda: faults.AnswersLost(node_id, rng.randint(1, MOST_ANSWERS_LOST)),
+        lambda: faults.LogFault(*rng.choice(LOG_FAULTS)),
+    )
+    return rng.choice(draws)()
--- /dev/null
+++ b/comfreywharf_dev/soak/run.py
@@ -0,0 +1,96 @@
+"""One run: a cluster, callers that go on, the drawn faults, the promises checked."""
+
+import shutil
+import time
+
+import attrs
+
+from comfreywharf.clock import boottime_s
+from comfreywharf_dev.failures.callers import Callers
+from comfreywharf_dev.failures.tests.builders import KEYS, violations
+from comfreywharf_dev.soak.plan import draw_faults
+from comfreywharf_dev.standins.cluster import Cluster
+from comfreywharf_dev.standins.deployments import riga_plans, riga_services
+
+__all__ = ["Extent", "Outcome", "run_seed"]
+
+SERVED_WITHIN_S = 30.0
+"""A run ends with a fault where a key isn't served so long after the last one."""
+
+WRONG_CLOCK_S = 0.5
+"""Nodes that start with a wrong clock are those whose clock can be set later."""
+
+
+@attrs.frozen(kw_only=True)
+class Extent:
+    """How large a run is."""
+
+    nodes: int = 6
+    slices: int = 12
+    faults: int = 10
+    duration_s: float = 12.0
+    callers: int = 6
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What a run showed: the faults that it had, and what was wrong."""
+
+    seed: int
+    timed: tuple
+    found: tuple = ()
+    answered: int = 0
+
+    @property
+    def passed(self):
+        """Return whether each promise was kept."""
+        return not self.found
+
+
+def run_seed(seed, folder, extent=None):
+    """Play one run and return its `Outcome`; the folder stays if a promise broke."""
+    extent = extent or Extent()
+    plans = riga_plans(
+        booking=extent.nodes,
+        files=0,
+        checks_fences=seed % 2 == 0,
+        wall_offset_s=WRONG_CLOCK_S,
+    )
+    node_ids = tuple(plan.node_id for plan in plans)
+    timed = draw_faults(seed, node_ids, extent.faults, extent.duration_s)
+    shutil.rmtree(folder, ignore_errors=True)
+    with Cluster(folder, plans, proxied=True) as cluster:
+        cluster.submit(riga_services(slices=extent.slices))
+        cluster.wait_owned("booking")
+        told, found = _play(cluster, timed, extent)
+        found += [str(one) for one in violations(cluster, told)]
+    outcome = Outcome(
+        seed=seed,
+        timed=tuple(timed),
+        found=tuple(found),
+        answered=sum(one.accepted for one in told),
+    )
+    if outcome.passed:
+        shutil.rmtree(folder)
+    return outcome
+
+
+def _play(cluster, timed, extent):
+    """Inject the faults while callers go on; return what they were told."""
+    with Callers(cluster, KEYS, count=extent.callers) as callers:
+        began_s = boottime_s()
+        for at_s, act in _acts(timed):
+            time.sleep(max(0.0, began_s + at_s - boottime_s()))
+            act(cluster)
+        try:
+            callers.wait_served(timeout_s=SERVED_WITHIN_S)
+        except TimeoutError as error:
+            return callers.told, [str(error)]
+    return callers.told, []
+
+
+def _acts(timed):
+    """Return ``(at_s, act)`` for each begin and end, in their order."""
+    acts = [(one.begin_s, one.fault.begin) for one in timed]
+    acts += [(one.end_s, one.fault.end) for one in timed]
+    return sorted(acts, key=lambda act: act[0])
