Lift a fault before the next one at its place begins

Before: test_a_fault_ends_before_the_next_one_at_its_vm_begins fails with the begin first. After: it passes.

--- a/comfreywharf_dev/soak/run.py
+++ b/comfreywharf_dev/soak/run.py
@@ -12,7 +12,7 @@
 from comfreywharf_dev.standins.cluster import Cluster
 from comfreywharf_dev.standins.deployments import riga_plans, riga_services
 
-__all__ = ["Extent", "Outcome", "run_seed"]
+__all__ = ["Extent", "Outcome", "acts_in_order", "run_seed"]
 
 SERVED_WITHIN_S = 30.0
 """A run ends with a fault where a key isn't served so long after the last one."""
@@ -79,7 +79,7 @@
     """Inject the faults while callers go on; return what they were told."""
     with Callers(cluster, KEYS, count=extent.callers) as callers:
         began_s = boottime_s()
-        for at_s, act in _acts(timed):
+        for at_s, act in acts_in_order(timed):
             time.sleep(max(0.0, began_s + at_s - boottime_s()))
             act(cluster)
         try:
@@ -89,8 +89,11 @@
     return callers.told, []
 
 
-def _acts(timed):
-    """Return ``(at_s, act)`` for each begin and end, in their order."""
-    acts = [(one.begin_s, one.fault.begin) for one in timed]
-    acts += [(one.end_s, one.fault.end) for one in timed]
+def acts_in_order(timed):
+    """Return ``(at_s, act)`` for each begin and end, in their order.
+
+    Where a fault begins as another ends, the end comes first: both may be of one VM.
+    """
+    acts = [(one.end_s, one.fault.end) for one in timed]
+    acts += [(one.begin_s, one.fault.begin) for one in timed]
     return sorted(acts, key=lambda act: act[0])
