End a stand-in's connection while another greenlet reads on it

PlatformServer.crash closed the buffered reader of its heartbeats' connection while the greenlet that sends them waited for an answer on it. Ruled out: the product; the error is raised in the stand-in before anything is checked. Before: that failure, once; it needs a crash between a heartbeat and its answer. After: the connection is shut down, the reader sees its end, and the greenlet goes on as after any other loss. The ten tests of the file pass.

--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -224,8 +224,8 @@
             post(port, path, fields)
             return HEARTBEAT_S
         try:
-            self._line = self._line or _open(port)
-            answer = _exchange(self._line, path, fields)
+            self._line = self._line or _Line(port)
+            answer = self._line.exchange(path, fields)
         except (OSError, ValueError):
             self._leave_line()
             raise
@@ -243,7 +243,7 @@
     def _leave_line(self):
         line, self._line = self._line, None
         if line is not None:
-            line.close()
+            line.end()
 
     def _take_list(self, answer, sent_s):
         """Hold what is listed, for a time that counts from when it was asked for."""
@@ -362,23 +362,31 @@
         return int(sock.recv(4096).split()[1])
 
 
-def _open(port):
-    return socket.create_connection(("127.0.0.1", port), 1).makefile("rwb")
-
-
-def _exchange(line, path, fields):
-    """Post JSON on a kept connection; return the fields of the answer."""
-    body = orjson.dumps(fields)
-    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
-    line.write(head.encode() + body)
-    line.flush()
-    status = line.readline().split()
-    length = 0
-    while header := line.readline().strip():
-        name, _, value = header.partition(b":")
-        if name.lower() == b"content-length":
-            length = int(value)
-    answer = line.read(length)
-    if not status or status[1] != b"200":
-        raise OSError(f"heartbeat answered {status}")
-    return orjson.loads(answer)
+class _Line:
+    """A kept connection to a node, on which one heartbeat follows the other."""
+
+    def __init__(self, port):
+        self._sock = socket.create_connection(("127.0.0.1", port), 1)
+        self._file = self._sock.makefile("rwb")
+
+    def end(self):
+        """End the connection, also while another greenlet reads on it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def exchange(self, path, fields):
+        """Post JSON; return the fields of the answer."""
+        body = orjson.dumps(fields)
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        self._file.write(head.encode() + body)
+        self._file.flush()
+        status = self._file.readline().split()
+        length = 0
+        while header := self._file.readline().strip():
+            name, _, value = header.partition(b":")
+            if name.lower() == b"content-length":
+                length = int(value)
+        answer = self._file.read(length)
+        if not status or status[1] != b"200":
+            raise OSError(f"heartbeat answered {status}")
+        return orjson.loads(answer)
