Begin no request that peers pass on to a node which is about to end

What callers saw: 504 for a request at which its server was at work, 0.5 s after it was sent. Its callers' port refuses from 23.5 s on; requests that peers pass on were begun until its end. akl-a-4 passed two on at 25.09 and 25.19 s; akl-a-3 ended at 25.52 s. Ruled out: the callers' node, which had got its own SIGTERM at 24.7 s; a lease that lapsed. Before: test_a_node_about_to_end_begins_no_request_of_its_peers fails, 200 instead of 503. After: it passes.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -106,6 +106,7 @@
         self.stopping = False
         self._announcing = None
         self.closed_to_new_work = False
+        self.finishing = False
         self._servers = [
             PeerServer(
                 settings.host,
@@ -224,6 +225,11 @@
         self.closed_to_new_work = True
         self.leases.surrender("leaving", self.grants.held_until_s(boottime_s()))
 
+    @property
+    def begins_work(self):
+        """Return whether requests are still passed on to the backend server."""
+        return not self.closed_to_new_work and not self.finishing
+
     def stop_within(self, grace_s, front):
         """Stop by a bound: hand over, let callers go, finish what was begun."""
         self.stopping = True
--- a/comfreywharf/daemon/stopping.py
+++ b/comfreywharf/daemon/stopping.py
@@ -42,6 +42,8 @@
     front.retire()
     _wait_until(lambda: boottime_s() >= end_s - FINISH_RESERVE_S, end_s - begun_s)
     front.refuse_new()
+    # Peers go on passing requests of services that have no owners to this node.
+    node.finishing = True
     drained.join(max(0.0, end_s - boottime_s()))
     _wait_until(lambda: not _is_busy(node) and not front.busy, end_s - boottime_s())
 
--- /dev/null
+++ b/comfreywharf/platform/tests/test_stopping.py
@@ -0,0 +1,21 @@
+"""A node that is asked to stop, and what the others pass on to it."""
+
+import gevent
+
+from comfreywharf.platform.tests.builders import wait_for
+
+GRACE_S = 3.0
+
+
+def test_a_node_about_to_end_begins_no_request_of_its_peers(deployment):
+    """Guards against a request that is cut off because its server's node ends.
+
+    Its peers don't hear that it stops while the store is away."""
+    node = deployment.nodes["n3"]
+    deployment.store.fault = "busy"
+    stopping = gevent.spawn(node.stop_within, GRACE_S, node.ports.front)
+    wait_for(lambda: node.finishing)
+    answer = deployment.ask("n0", "/stock/1", key=None, method="POST", body=b"b")
+    assert answer.status == 503
+    assert not any(run.instance == "i-n3" for run in deployment.ledger)
+    stopping.join()
