Have the soak use the cluster of the process tests

Cause: run_seed wrote again what running_cluster does (plans, start, services, owners), and four faults what others_than does. Before: the same cluster, the same faults; the calls stood twice.

--- a/comfreywharf_dev/soak/faults.py
+++ b/comfreywharf_dev/soak/faults.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from comfreywharf_dev.failures.tests.builders import others_than
 from comfreywharf_dev.standins.cluster import LOG
 
 __all__ = [
@@ -169,7 +170,7 @@
         inside = [
             n for n, p in cluster.plans.items() if p.failure_domain == self.domain
         ]
-        outside = [n for n in cluster.plans if n not in inside]
+        outside = others_than(cluster, *inside)
         cluster.faults.cut_group(inside, [*outside, LOG])
 
 
@@ -181,7 +182,7 @@
 
     def begin(self, cluster):
         """Hold back what the node sends."""
-        others = [name for name in cluster.plans if name != self.node_id]
+        others = others_than(cluster, self.node_id)
         cluster.faults.silence(self.node_id, [*others, LOG])
 
 
@@ -193,9 +194,8 @@
 
     def begin(self, cluster):
         """Reset them, of each other node."""
-        for name in cluster.plans:
-            if name != self.node_id:
-                cluster.faults.reset(name, self.node_id)
+        for name in others_than(cluster, self.node_id):
+            cluster.faults.reset(name, self.node_id)
 
 
 @attrs.frozen
@@ -207,9 +207,8 @@
 
     def begin(self, cluster):
         """Lose the next answers to each other node."""
-        for name in cluster.plans:
-            if name != self.node_id:
-                cluster.faults.lose_answers(name, self.node_id, self.count)
+        for name in others_than(cluster, self.node_id):
+            cluster.faults.lose_answers(name, self.node_id, self.count)
 
 
 @attrs.frozen
--- a/comfreywharf_dev/soak/run.py
+++ b/comfreywharf_dev/soak/run.py
@@ -7,10 +7,12 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf_dev.failures.callers import Callers
-from comfreywharf_dev.failures.tests.builders import KEYS, violations
+from comfreywharf_dev.failures.tests.builders import (
+    KEYS,
+    running_cluster,
+    violations,
+)
 from comfreywharf_dev.soak.plan import draw_faults
-from comfreywharf_dev.standins.cluster import Cluster
-from comfreywharf_dev.standins.deployments import riga_plans, riga_services
 
 __all__ = ["Extent", "Outcome", "acts_in_order", "run_seed"]
 
@@ -50,18 +52,17 @@
 def run_seed(seed, folder, extent=None):
     """Play one run and return its `Outcome`; the folder stays if a promise broke."""
     extent = extent or Extent()
-    plans = riga_plans(
+    shutil.rmtree(folder, ignore_errors=True)
+    with running_cluster(
+        folder,
         booking=extent.nodes,
-        files=0,
+        slices=extent.slices,
+        proxied=True,
         checks_fences=seed % 2 == 0,
         wall_offset_s=WRONG_CLOCK_S,
-    )
-    node_ids = tuple(plan.node_id for plan in plans)
-    timed = draw_faults(seed, node_ids, extent.faults, extent.duration_s)
-    shutil.rmtree(folder, ignore_errors=True)
-    with Cluster(folder, plans, proxied=True) as cluster:
-        cluster.submit(riga_services(slices=extent.slices))
-        cluster.wait_owned("booking")
+    ) as cluster:
+        node_ids = tuple(cluster.plans)
+        timed = draw_faults(seed, node_ids, extent.faults, extent.duration_s)
         told, found = _play(cluster, timed, extent)
         found += [str(one) for one in violations(cluster, told)]
     outcome = Outcome(
