Let an ended claim delay only other takers, and only while its requests run

Cause: a witness compared a standby's new claim with the view of that same standby's ended claim, and the end that a standby reported covered all requests of its node, its own keys' too, and was never corrected when these were answered. After a record that the planner's move had made void, the standby denied itself, and the other standbys, until the latest deadline at its node.

Change: a witness keeps a taker's claims by view; an earlier one of the same process denies other takers only. The reported end covers requests for the claimed ranges, and is reported anew once they are answered. Servers that check fences keep the end of their grants.

Before: the three new tests fail (keys not served 0.5 s after the record was refused; up to 2.9 s).

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -15,7 +15,8 @@
     SendUnclaim,
     report,
 )
-from comfreywharf.ownership.claims import HeldClaim, share_of
+from comfreywharf.ownership.claims import HeldClaim, ranges_of, share_of
+from comfreywharf.ownership.ended_claims import EndedClaims
 from comfreywharf.ownership.handover import decide_release
 from comfreywharf.ownership.holder import Holder, OwnLease
 from comfreywharf.ownership.inflight import InFlight
@@ -71,8 +72,7 @@
         self._scan_s = float("-inf")
         self._claim_number = 0
         self._claim_not_before_s = {}
-        self._acts_until_s = {}
-        self._fenced = fenced
+        self._ended_claims = EndedClaims(self.inflight, fenced)
         self._groups = WitnessGroups(node_id, incarnation, terms, self.holder, make_id)
 
     @property
@@ -108,6 +108,7 @@
         actions += self._replace_witnesses(state, now_s)
         for claim in list(self.claims.values()):
             actions += self._tick_claim(state, claim, now_s, forced)
+        actions += self._shorten_ended_claims(now_s)
         if now_s >= self._scan_s + SCAN_INTERVAL_S:
             self._scan_s = now_s
             actions += self._scan(state, now_s)
@@ -256,6 +257,7 @@
             self._terms,
             now_s,
             self._claim_number,
+            ranges_of(state, share),
         )
         self.claims[owner_id] = claim
         return self._send_claim(claim, now_s)
@@ -363,38 +365,22 @@
         """End a claim; the witnesses are sent until when it may still have effects."""
         claim.over = True
         del self.claims[claim.owner_id]
-        acts_until_s = self._claim_acts_until_s(claim, recorded, now_s, held_until_s)
-        message = claim.message(acts_until_s, now_s)
-        self._claim_number = max(self._claim_number, message.round)
+        acts_until_s = self._ended_claims.add(claim, recorded, now_s, held_until_s)
         self.rescan()
-        actions = [SendUnclaim(w, message) for w in claim.lease.witnesses]
+        actions = self._send_unclaim(claim, acts_until_s, now_s)
         return [*actions, report("claim_over", owner=claim.owner_id)]
 
-    def _claim_acts_until_s(self, claim, recorded, now_s, held_until_s):
-        """Return until when grants or requests based on claims may take effect.
+    def _send_unclaim(self, claim, acts_until_s, now_s):
+        message = claim.message(acts_until_s, now_s, self._claim_number)
+        self._claim_number = message.round
+        return [SendUnclaim(w, message) for w in claim.lease.witnesses]
 
-        A claim that was never held has none. If its end covered the requests for
-        this node's own keys, a busy node would delay its own next claim whenever
-        it ends one, and the owner's keys would stay unavailable. ``held_until_s``
-        is the end of the server's last grant, or ``None``; without that bound the
-        keys would be unavailable for up to a lease.
-        """
-        known_s = self._acts_until_s.get(claim.owner_id, now_s)
-        if claim.held_since_s is not None:
-            known_s = max(
-                known_s, self._held_claim_acts_until_s(claim, recorded, now_s)
-            )
-        if self._fenced and held_until_s is not None:
-            known_s = min(known_s, held_until_s)
-        self._acts_until_s[claim.owner_id] = known_s
-        return max(known_s, now_s)
-
-    def _held_claim_acts_until_s(self, claim, recorded, now_s):
-        if not self._fenced:
-            return self.inflight.all_until_s(now_s)
-        # A server that checks fences stops its work when its grants end, and they
-        # end with the claim. Recorded slices depend only on the node's own lease.
-        return now_s if recorded else claim.lease.until_s()
+    def _shorten_ended_claims(self, now_s):
+        """Report ends of claims that came sooner, as their requests were answered."""
+        actions = []
+        for claim, until_s in self._ended_claims.shortened(self.claims, now_s):
+            actions += self._send_unclaim(claim, until_s, now_s)
+        return actions
 
     # Releases.
 
--- a/comfreywharf/ownership/claims.py
+++ b/comfreywharf/ownership/claims.py
@@ -5,7 +5,7 @@
 from comfreywharf.ownership.messages import Claim
 from comfreywharf.ownership.quorum import QuorumLease
 
-__all__ = ["HeldClaim", "SliceKey", "share_of"]
+__all__ = ["HeldClaim", "SliceKey", "ranges_of", "share_of"]
 
 
 @attrs.frozen
@@ -37,6 +37,14 @@
     return frozenset(share)
 
 
+def ranges_of(state, share):
+    """Return ``(service, start, end)`` of each slice of a share."""
+    return frozenset(
+        (key.service, key.start, state.slices[key.service].at_start(key.start).end)
+        for key in share
+    )
+
+
 class HeldClaim:
     """A claim on one owner's lapsed lease, requested or held.
 
@@ -45,9 +53,20 @@
     A lapsed claim is never held again; a new claim uses the current epochs.
     """
 
-    def __init__(self, owner, taker_id, taker_incarnation, share, terms, now_s, number):
+    def __init__(
+        self,
+        owner,
+        taker_id,
+        taker_incarnation,
+        share,
+        terms,
+        now_s,
+        number,
+        ranges=frozenset(),
+    ):
         self.owner_id = owner.node_id
         self.share = share
+        self.ranges = ranges
         self.began_s = now_s
         self.held_since_s = None
         self.over = False
@@ -64,6 +83,11 @@
         """Return the owner's lease epoch on which the claim is based."""
         return self._lease_epoch
 
+    @property
+    def view(self):
+        """Return the owner's epochs on which the claim is based."""
+        return self._lease_epoch, self._portfolio_epoch
+
     def round_due(self, now_s):
         """Return whether it is time to send the claim to the witnesses."""
         interval_s = self._terms.renew_interval_s
@@ -71,9 +95,13 @@
             interval_s /= 4
         return not self.over and now_s >= self._round_sent_s + interval_s
 
-    def message(self, reach_until_s, now_s):
-        """Return the claim to send to each of ``lease.witnesses`` now."""
+    def message(self, reach_until_s, now_s, after_round=0):
+        """Return the claim to send to each of ``lease.witnesses`` now.
+
+        Its round is higher than ``after_round``, that of this node's newest claim.
+        """
         self._round_sent_s = now_s
+        self.lease.skip_rounds(after_round)
         number = self.lease.begin_round(now_s, reach_until_s, self._portfolio_epoch)
         return Claim(
             owner_id=self.owner_id,
--- a/comfreywharf/ownership/quorum.py
+++ b/comfreywharf/ownership/quorum.py
@@ -77,6 +77,10 @@
         self._rounds.pop(self._number - KEPT_ROUNDS, None)
         return self._number
 
+    def skip_rounds(self, number):
+        """Use round numbers above ``number`` from now on."""
+        self._number = max(self._number, number)
+
     def next_number(self):
         """Return a round number for a message whose answer grants nothing."""
         self._number += 1
--- a/comfreywharf/ownership/tests/test_busy_takers.py
+++ b/comfreywharf/ownership/tests/test_busy_takers.py
@@ -1,10 +1,14 @@
 """Takeovers by nodes that are busy with requests for their own keys."""
 
+import pytest
+
 from comfreywharf.ownership.tests.builders import KEYS, SERVICE, make_world, move
 from comfreywharf.records import SliceMove, key_hash
 
 KEY = KEYS[0]
 BUSY_S = 0.8
+LONG_S = 2.9
+RECLAIM_S = 0.5
 
 
 def own_key(world, node):
@@ -70,3 +74,51 @@
     plan(world, owner_id=world.role("other", KEY))
     world.run(4.0)
     assert world.served(KEY)
+
+
+def lose_owner(world, standby):
+    """Freeze the key's owner; return once its standby holds a claim, unrecorded."""
+    world.nodes[world.role("owner", KEY)].frozen = True
+    standby.appends = False
+    world.run(2.5)
+    assert world.served(KEY)
+
+
+def await_refused_record(world, standby):
+    """Let a standby's record be appended and refused, which ends its claim."""
+    standby.appends = True
+    while standby.agent.claims:
+        world.run(0.05)
+
+
+@pytest.mark.parametrize("claimed_key", [False, True])
+def test_requests_of_an_earlier_claim_dont_delay_the_same_standby(claimed_key):
+    """Guards against keys without an owner until a busy standby's last deadline."""
+    world = make_world(count=6, slices=12)
+    standby = world.nodes[world.role("standby", KEY)]
+    key = KEY if claimed_key else own_key(world, standby)
+    lose_owner(world, standby)
+    plan(world, standby_id=world.role("other", KEY))
+    plan(world, standby_id=standby.node_id)
+    assert world.request(standby.node_id, key, LONG_S)
+    await_refused_record(world, standby)
+    world.run(RECLAIM_S)
+    assert world.served(KEY)
+
+
+def test_a_finished_request_of_an_ended_claim_delays_no_standby():
+    """Guards against standbys that begin and end claims on one owner until the
+    deadline of a request that was answered long before."""
+    world = make_world(count=6, slices=12)
+    standby = world.nodes[world.role("standby", KEY)]
+    lose_owner(world, standby)
+    other = world.role("other", KEY)
+    plan(world, standby_id=other)
+    table, now_s = standby.agent.table, standby.now_s()
+    right = table.right_to_serve(standby.state, SERVICE, KEY, now_s, LONG_S)
+    right = table.begin_request(right)
+    assert right.ticket
+    await_refused_record(world, standby)
+    table.finish_request(right)
+    world.run(RECLAIM_S)
+    assert world.request(other, KEY)
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -23,9 +23,18 @@
 NEVER_S = float("-inf")
 
 
+@attrs.define
+class _EarlierView:
+    until_s: float
+    round: int
+
+
 @attrs.define(kw_only=True)
 class _Taker:
-    """A standby that holds a share of a lapsed lease."""
+    """A standby that holds a share of a lapsed lease.
+
+    ``earlier`` has its claims on earlier views that may still act, by view.
+    """
 
     incarnation: int
     lease_epoch: int
@@ -33,13 +42,40 @@
     expires_s: float
     reach_until_s: float
     round: int
+    earlier: dict[tuple[int, int], _EarlierView] = attrs.Factory(dict)
 
     @property
     def view(self):
         return self.lease_epoch, self.portfolio_epoch
 
+    @property
+    def own_until_s(self):
+        return max(self.expires_s, self.reach_until_s)
+
+    @property
+    def acts_until_s(self):
+        return max([self.own_until_s, *(e.until_s for e in self.earlier.values())])
+
+    @property
+    def portfolio_epochs(self):
+        """Return the assignments of slices on which it may act."""
+        return {self.portfolio_epoch, *(portfolio for _, portfolio in self.earlier)}
+
     def active(self, now_s):
-        return now_s < max(self.expires_s, self.reach_until_s)
+        return now_s < self.acts_until_s
+
+    def drop_ended_views(self, now_s):
+        self.earlier = {
+            view: earlier
+            for view, earlier in self.earlier.items()
+            if now_s < earlier.until_s
+        }
+
+    def earlier_than(self, view):
+        """Return the claims to keep beside a new one on another view."""
+        if view == self.view:
+            return self.earlier
+        return {**self.earlier, self.view: _EarlierView(self.own_until_s, self.round)}
 
 
 @attrs.define(kw_only=True)
@@ -76,6 +112,8 @@
             t for t, taker in self.takers.items() if not taker.active(now_s)
         ]:
             del self.takers[taker_id]
+        for taker in self.takers.values():
+            taker.drop_ended_views(now_s)
 
 
 class Witness:
@@ -190,14 +228,18 @@
             return Denial.STALE
         if claim.portfolio_epoch < max(view.portfolio_epoch, watched.portfolio_epoch):
             return Denial.STALE
-        for taker in watched.takers.values():
+        own_process = (claim.taker_id, claim.taker_incarnation)
+        for taker_id, taker in watched.takers.items():
             # Two takers with different views of the assignment could both
             # include the same slice in their shares.
-            if taker.portfolio_epoch != claim.portfolio_epoch:
+            if (taker_id, taker.incarnation) == own_process:
+                continue
+            if taker.portfolio_epochs != {claim.portfolio_epoch}:
                 return Denial.OTHER_VIEW
         return Denial.NONE
 
     def _grant_share(self, watched, claim, now_s):
+        current = watched.takers.get(claim.taker_id)
         watched.lease_epoch = max(watched.lease_epoch, claim.lease_epoch)
         watched.portfolio_epoch = max(watched.portfolio_epoch, claim.portfolio_epoch)
         watched.takers[claim.taker_id] = _Taker(
@@ -207,6 +249,7 @@
             expires_s=self._terms.expires_s(now_s, claim.lease_s),
             reach_until_s=self._terms.expires_s(now_s, claim.reach_s),
             round=claim.round,
+            earlier=current.earlier_than(claim.view) if current else {},
         )
         return Grant(granted=True, term=watched.term)
 
@@ -219,10 +262,15 @@
         taker = watched.takers.get(claim.taker_id) if watched else None
         if taker is None or taker.incarnation != claim.taker_incarnation:
             return
-        if claim.round > taker.round:
+        until_s = self._terms.expires_s(now_s, claim.reach_s)
+        earlier = taker.earlier.get(claim.view)
+        if earlier is not None:
+            if claim.round > earlier.round:
+                taker.earlier[claim.view] = _EarlierView(until_s, claim.round)
+        elif claim.view == taker.view and claim.round > taker.round:
             taker.round = claim.round
             taker.expires_s = now_s
-            taker.reach_until_s = self._terms.expires_s(now_s, claim.reach_s)
+            taker.reach_until_s = until_s
 
     def lapsed_owners(self, owner_ids, now_s):
         """Return those of the given owners whose standbys are to be notified now.
@@ -253,10 +301,7 @@
                 del self._watched[owner_id]
 
     def _taken_for_s(self, watched, now_s):
-        latest_s = max(
-            max(t.expires_s, t.reach_until_s) for t in watched.takers.values()
-        )
-        return latest_s - now_s
+        return max(t.acts_until_s for t in watched.takers.values()) - now_s
 
     def _lookup(self, owner_id):
         watched = self._watched.get(owner_id)
