Repeat a denied claim only on a newer view, or after a pause

Cause: each of an owner's witnesses sends its standbys a notice every 0.25 s, and a claim that was denied for its view ended and began anew with the next notice, up to 20 times a second, to be denied by the same view.

Change: a claim denied as stale waits until the fold has another view of the owner, 1 s at most; one denied for another taker's view waits 0.25 s.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -37,7 +37,8 @@
 CLAIM_PAUSE_LEASES = 1.0
 SCAN_INTERVAL_S = 0.25
 
-_OUTDATED_DENIALS = frozenset({Denial.STALE, Denial.OTHER_VIEW})
+DENIED_PAUSES_S = {Denial.STALE: 1.0, Denial.OTHER_VIEW: 0.25}
+"""How long no claim is begun on the view of an owner for which one was denied."""
 
 _MOVING = (SlicesMoved, SlicesTaken, MoveCompleted)
 """Records after which a release may have to be requested."""
@@ -72,6 +73,7 @@
         self._scan_s = float("-inf")
         self._claim_number = 0
         self._claim_not_before_s = {}
+        self._denied_views = {}
         self._ended_claims = EndedClaims(self.inflight, fenced)
         self._groups = WitnessGroups(node_id, incarnation, terms, self.holder, make_id)
 
@@ -246,6 +248,8 @@
             return []
         if now_s < self._claim_not_before_s.get(owner_id, now_s):
             return []
+        if self._was_denied(owner, now_s):
+            return []
         share = share_of(state, self._node_id, owner_id)
         if not share:
             return []
@@ -262,6 +266,18 @@
         self.claims[owner_id] = claim
         return self._send_claim(claim, now_s)
 
+    def _was_denied(self, owner, now_s):
+        """Return whether a claim on the same view of an owner was denied recently.
+
+        It would be denied again until this node folds the record that it lacks, or
+        until another taker's claim ends.
+        """
+        denied = self._denied_views.get(owner.node_id)
+        if denied is None:
+            return False
+        view, until_s = denied
+        return now_s < until_s and view == (owner.lease_epoch, owner.portfolio_epoch)
+
     def claim_granted(self, owner_id, witness, number, term, now_s):
         """Register a witness's grant of a claim; return the actions to take."""
         claim = self.claims.get(owner_id)
@@ -280,11 +296,13 @@
         """
         claim = self.claims.get(owner_id)
         if (
-            denial not in _OUTDATED_DENIALS
+            denial not in DENIED_PAUSES_S
             or claim is None
             or claim.held_since_s is not None
         ):
             return []
+        pause_s = DENIED_PAUSES_S[denial]
+        self._denied_views[owner_id] = (claim.view, now_s + pause_s)
         return self._end_claim(claim, now_s)
 
     def _send_claim(self, claim, now_s):
--- a/comfreywharf/ownership/tests/test_busy_takers.py
+++ b/comfreywharf/ownership/tests/test_busy_takers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from comfreywharf.ownership import Report
 from comfreywharf.ownership.tests.builders import KEYS, SERVICE, make_world, move
 from comfreywharf.records import SliceMove, key_hash
 
@@ -9,6 +10,7 @@
 BUSY_S = 0.8
 LONG_S = 2.9
 RECLAIM_S = 0.5
+MAX_CLAIMS_A_SECOND = 5
 
 
 def own_key(world, node):
@@ -76,6 +78,18 @@
     assert world.served(KEY)
 
 
+def recorded_actions(node):
+    """Return a list to which all actions of a node are added from now on."""
+    recorded, carry_out = [], node.carry_out
+
+    def record(actions):
+        recorded.extend(actions)
+        carry_out(actions)
+
+    node.carry_out = record
+    return recorded
+
+
 def lose_owner(world, standby):
     """Freeze the key's owner; return once its standby holds a claim, unrecorded."""
     world.nodes[world.role("owner", KEY)].frozen = True
@@ -122,3 +136,17 @@
     table.finish_request(right)
     world.run(RECLAIM_S)
     assert world.request(other, KEY)
+
+
+def test_a_denied_claim_is_repeated_only_on_a_newer_view():
+    """Guards against standbys that begin a claim with each witness's notice, all of
+    which are denied since another standby's claim has another view."""
+    world = make_world(count=6, slices=12)
+    standby = world.nodes[world.role("standby", KEY)]
+    other = world.nodes[world.role("other", KEY)]
+    lose_owner(world, standby)
+    plan(world, standby_id=other.node_id)
+    actions = recorded_actions(other)
+    world.run(1.0)
+    ended = [a for a in actions if isinstance(a, Report) and a.name == "claim_over"]
+    assert len(ended) <= MAX_CLAIMS_A_SECOND
