Let leases and holds last as long as the work that begins under them

Cause: a backend server ends work with 500 that outlasts the hold which it began under, whatever is renewed later. Leases lasted 1.5 s and holds were renewed with 0.6 s left, so that work of half a second with a long tail often outlasted its hold.

The end of a lease never moves back. A witness that restarts is silent for the bound, and a new process of a node counts its predecessor's grants for as long. Holds are renewed before less is left than work takes; a request begins only under a hold that isn't certainly too short. A crashed server's keys are released at once as before; those of an owner that is lost silently stay dark for its lease. The stand-in server follows the rule.

Two switches of test_mechanisms take the arguments that their methods have now.

--- a/comfreywharf/daemon/ownership/grants_by_service.py
+++ b/comfreywharf/daemon/ownership/grants_by_service.py
@@ -58,6 +58,10 @@
         """Record that the server refused the key of a `Right` as not held."""
         self.active_grants.handle_refusal(right)
 
+    def earlier_process_granted(self, until_s):
+        """Register until when grants of an earlier process of this node may last."""
+        self.active_grants.earlier_process_granted(until_s)
+
     def answer(self, report):
         """Return the `HoldList` for a heartbeat's report; ``None`` for no list."""
         return self.active_grants.answer(report)
--- a/comfreywharf/daemon/ownership/key_grants.py
+++ b/comfreywharf/daemon/ownership/key_grants.py
@@ -58,6 +58,10 @@
         """Record that the server refused the key of a `Right` as not held."""
         return
 
+    def earlier_process_granted(self, until_s):
+        """Register until when grants of an earlier process of this node may last."""
+        return
+
     def answer(self, report):
         """Return the `HoldList` for a heartbeat's `HoldReport`; ``None`` for no list.
 
@@ -142,6 +146,10 @@
         """Return when the last grant of the backend server ends."""
         return self.book.all_held_until_s(now_s)
 
+    def earlier_process_granted(self, until_s):
+        """Register until when grants of an earlier process of this node may last."""
+        self.book.earlier_process_granted(until_s)
+
     def backend_changed(self):
         """Handle the announcement of another instance of the backend server.
 
--- a/comfreywharf/daemon/ownership/leases.py
+++ b/comfreywharf/daemon/ownership/leases.py
@@ -21,6 +21,7 @@
     SendClaim,
     SendRenewal,
     SendUnclaim,
+    longest_lease_s,
 )
 from comfreywharf.routing import Reason
 from comfreywharf.transport import CallError
@@ -70,6 +71,7 @@
         self.table = self.agent.table
         self.inflight = self.agent.inflight
         self.holder = self.agent.holder
+        self.work_times = self.agent.work_times
         self._wake = Event()
         self._forced = False
         self._forced_s = float("-inf")
@@ -150,7 +152,7 @@
         Grants that last as long as the lease then last nearly a whole lease.
         """
         requested_s = boottime_s()
-        wanted_s = self.terms.held_until_s(requested_s)
+        wanted_s = self.terms.held_until_s(requested_s, self.holder.lease_s)
         with gevent.Timeout(timeout_s, False):
             self.force_round()
             while self.holder.lease.until_s() < wanted_s:
@@ -207,6 +209,7 @@
         self._node.incarnation_chosen.wait()
         self.agent.set_incarnation(self._node.incarnation)
         self._node.witnessing.begin(self._node.process_start_s)
+        self._node.grants.earlier_process_granted(self._earlier_grants_end_s())
         expired_s = boottime_s()
         while True:
             self._wake.wait(self._wait_s(boottime_s()))
@@ -222,6 +225,12 @@
                 self.inflight.expire(now_s)
                 expired_s = now_s
 
+    def _earlier_grants_end_s(self):
+        """Return until when grants of an earlier process of this node may last."""
+        node = self._node
+        longest_s = longest_lease_s(node.follower.state, node.settings.node_id)
+        return node.process_start_s + max(self.terms.lease_s, longest_s)
+
     def _wait_s(self, now_s):
         """Return how long the loop may sleep before the agent's next tick.
 
--- a/comfreywharf/daemon/ownership/range_grants.py
+++ b/comfreywharf/daemon/ownership/range_grants.py
@@ -184,7 +184,7 @@
         if not right.key_hash:
             return True
         slice_id = (right.service, right.slice_start)
-        if self.book.holds(slice_id, right.fence, now_s):
+        if self.book.holds_for_typical_work(slice_id, right.fence, now_s):
             return True
         self.push()
         end_s = now_s + ENSURE_TIMEOUT_S
--- a/comfreywharf/daemon/ownership/service_declarer.py
+++ b/comfreywharf/daemon/ownership/service_declarer.py
@@ -59,7 +59,11 @@
             slices = (
                 declared.slices if declared else self._initial_slice_count(state, name)
             )
-            service = attrs.evolve(service, slices=slices)
+            service = attrs.evolve(
+                service,
+                slices=slices,
+                longest_lease_ms=_longest_lease_ms(service, declared),
+            )
             if declared != service:
                 to_declare[name] = service
         return to_declare
@@ -87,3 +91,13 @@
         except NotAcknowledged:
             # The next check compares again, whether or not it took effect.
             return
+
+
+def _longest_lease_ms(service, declared):
+    """Return the bound to declare, which is never lowered.
+
+    A witness that restarts is silent for as long as the bound in its fold. Leases that
+    were granted under a higher one may still last.
+    """
+    known_ms = declared.longest_lease_ms if declared else 0
+    return max(known_ms, service.longest_lease_ms)
--- a/comfreywharf/daemon/ownership/witnessing.py
+++ b/comfreywharf/daemon/ownership/witnessing.py
@@ -9,7 +9,13 @@
     grant_reply,
     renewal_of,
 )
-from comfreywharf.ownership import Denial, Grant, OwnerView, Witness
+from comfreywharf.ownership import (
+    Denial,
+    Grant,
+    OwnerView,
+    Witness,
+    longest_lease_s,
+)
 from comfreywharf.transport import CallError
 from comfreywharf.transport.gen.ttypes import LapsedNotice
 
@@ -81,7 +87,8 @@
         return boottime_s() - self._node.follower.confirmed_s > limit_s
 
     def _owner_view(self, owner_id):
-        member = self._node.follower.state.members.get(owner_id)
+        state = self._node.follower.state
+        member = state.members.get(owner_id)
         if self._witness is None or member is None:
             return None
         return OwnerView(
@@ -90,6 +97,7 @@
             lease_incarnation=member.lease_incarnation,
             portfolio_epoch=member.portfolio_epoch,
             checks_fences=member.checks_fences,
+            longest_lease_s=longest_lease_s(state, owner_id),
         )
 
     def _longest_request_s(self):
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -224,6 +224,7 @@
         self._backend = backend
         self._key = key
         self._request = None
+        self._sent_s = None
         self._ended = False
 
     def run(self, request, body):
@@ -237,10 +238,10 @@
             )
             self._complete()
             return StreamedReply(refusal(Reason.BAD_REQUEST))
-        sent_s = boottime_s()
+        self._sent_s = boottime_s()
         try:
             response = self._backend.exchange(request, lines, body, self._running)
-            spent_s = boottime_s() - sent_s
+            spent_s = boottime_s() - self._sent_s
             self._node.metrics.stage_ended(request.service_name, "server", spent_s)
             return self._reply(response)
         except BackendError as error:
@@ -305,6 +306,8 @@
             response.release()
             raise
         self._node.load.answered(self._running.slot)
+        if self._request.key:
+            self._node.leases.work_times.add(boottime_s() - self._sent_s)
         reply = _forward_reply(response, body)
         if response.whole and not response.buffered_bytes:
             self._complete()
--- a/comfreywharf/daemon/requests/routes.py
+++ b/comfreywharf/daemon/requests/routes.py
@@ -9,6 +9,7 @@
     Splitter,
     decode_table,
     encode_table,
+    longest_lease_ms,
 )
 
 __all__ = ["Routes"]
@@ -75,6 +76,7 @@
                 divided_by_key=service.divided_by_number,
                 max_body_bytes=table.limits.body_bytes,
                 retry_fraction=self._retry_fraction,
+                longest_lease_ms=longest_lease_ms(table, service.name),
             )
             for service in table.services
         }
--- a/comfreywharf/declarations/fields.py
+++ b/comfreywharf/declarations/fields.py
@@ -17,6 +17,7 @@
 ]
 
 MAX_REQUEST_MS = 3_600_000
+MAX_LEASE_MS = 60_000
 MAX_WEIGHT = 1000.0
 MAX_QUEUE_LENGTH = 100_000
 
@@ -32,6 +33,7 @@
     Key("queue_length", IntegerKind(0, MAX_QUEUE_LENGTH)),
     Key("retry_fraction", NumberKind(0.0, 1.0)),
     Key("max_body_bytes", IntegerKind(0, MAX_BODY_BYTES, "bytes")),
+    Key("longest_lease_ms", IntegerKind(0, MAX_LEASE_MS, "ms")),
 )
 
 _KEYS_BY_NAME = {key.name: key for key in SERVICE_KEYS}
--- a/comfreywharf/ownership/__init__.py
+++ b/comfreywharf/ownership/__init__.py
@@ -10,7 +10,7 @@
     SendRenewal,
     SendUnclaim,
 )
-from comfreywharf.ownership.agent import OwnershipAgent
+from comfreywharf.ownership.agent import OwnershipAgent, longest_lease_s
 from comfreywharf.ownership.claims import HeldClaim, SliceKey, share_of
 from comfreywharf.ownership.handover import ReleaseDecision, decide_release
 from comfreywharf.ownership.holder import Holder, OwnLease
@@ -52,5 +52,6 @@
     "Witness",
     "choose_witnesses",
     "decide_release",
+    "longest_lease_s",
     "share_of",
 ]
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -24,6 +24,7 @@
 from comfreywharf.ownership.slicewatch import SliceWatch
 from comfreywharf.ownership.table import OwnershipTable
 from comfreywharf.ownership.witnessgroups import WitnessGroups
+from comfreywharf.ownership.work_times import WorkTimes, lease_length_s
 from comfreywharf.records import (
     MoveCompleted,
     SlicesMoved,
@@ -31,7 +32,7 @@
     SliceTake,
 )
 
-__all__ = ["OwnershipAgent"]
+__all__ = ["OwnershipAgent", "longest_lease_s"]
 
 APPEND_RETRY_S = 0.2
 CLAIM_PAUSE_LEASES = 1.0
@@ -51,6 +52,13 @@
 RESET = "reset"
 
 
+def longest_lease_s(state, node_id):
+    """Return the bound of a node's leases; zero if they are never longer than usual."""
+    member = state.members.get(node_id)
+    service = state.config.services.get(member.service) if member else None
+    return service.longest_lease_ms / 1000 if service else 0.0
+
+
 class OwnershipAgent:
     """Decide when a node renews its lease, takes over slices and releases them.
 
@@ -65,6 +73,7 @@
         self._make_id = make_id
         self.holder = Holder(node_id, incarnation, terms)
         self.inflight = InFlight()
+        self.work_times = WorkTimes()
         self.table = OwnershipTable(node_id, self.holder, self.inflight, fenced)
         self._appending = set()
         self._not_before_s = {}
@@ -136,6 +145,11 @@
 
     def _renew(self, state, now_s, may_hold, forced):
         own_lease = self.own_lease(state)
+        longest_s = longest_lease_s(state, self._node_id)
+        self._groups.lost.longest_lease_s = longest_s
+        self.holder.lease_s = lease_length_s(
+            self.work_times.long_s, self._terms, longest_s
+        )
         if own_lease.incarnation > self._incarnation:
             if self.holder.supersede():
                 return [report("superseded", incarnation=own_lease.incarnation)]
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -32,6 +32,8 @@
 class Holder:
     """Decide when a node renews its lease, and while it may own slices by it.
 
+    ``lease_s`` is the length that the next renewal requests.
+
     A lapse during which no other node held the lease is healed without the log: if
     a majority of the witnesses still has the term that it granted before, no taker
     can have had a majority since. Otherwise the lease restarts by a
@@ -53,6 +55,8 @@
         self._paused_until_s = float("-inf")
         self._majority_due_s = None
         self._requested_since_s = {}
+        self._requested_until_s = float("-inf")
+        self.lease_s = terms.lease_s
         self.candidates = ()
 
     def set_incarnation(self, incarnation):
@@ -133,6 +137,7 @@
         that sent them will have ended the lease.
         """
         self._lease.reset()
+        self._requested_until_s = float("-inf")
         self._paused_until_s = now_s + PAUSE_LEASES * self._terms.lease_s
         timeout_s = MAJORITY_TIMEOUT_LEASES * self._terms.lease_s
         self._majority_due_s = self._paused_until_s + timeout_s
@@ -152,12 +157,24 @@
             witness: self._requested_since_s.get(witness, now_s)
             for witness in self.recipients
         }
+        lease_s = self._length_s(now_s)
         number = self._lease.begin_round(
-            now_s, reach_until_s, own_lease.portfolio_epoch, own_lease.lease_epoch
-        )
-        return self._message(
-            own_lease, self._terms.lease_s, reach_until_s - now_s, number
+            now_s,
+            reach_until_s,
+            own_lease.portfolio_epoch,
+            own_lease.lease_epoch,
+            lease_s,
         )
+        return self._message(own_lease, lease_s, reach_until_s - now_s, number)
+
+    def _length_s(self, now_s):
+        """Return the length to request now.
+
+        The end never moves back: this node relies on an earlier request's end until
+        that has passed, while a witness counts by the newest request.
+        """
+        self._requested_until_s = max(self._requested_until_s, now_s + self.lease_s)
+        return self._requested_until_s - now_s
 
     def mark_vouched(self, renewal, witness):
         """Return a renewal for one witness; ``vouched`` if its earlier grant counts."""
@@ -175,9 +192,12 @@
         return {
             witness
             for witness, since_s in self._requested_since_s.items()
-            if max(since_s, self._lease.granted_until_s(witness)) < limit_s
+            if max(since_s, self._shortest_until_s(witness)) < limit_s
         }
 
+    def _shortest_until_s(self, witness):
+        return self._terms.held_until_s(self._lease.confirmed_s(witness))
+
     def granted_by_majority(self, group, now_s):
         """Return whether a majority of a group currently grants the lease."""
         granting = [w for w in group if now_s < self._lease.granted_until_s(w)]
@@ -241,6 +261,7 @@
         """
         self._chart.fire("surrender")
         self._lease.reset()
+        self._requested_until_s = float("-inf")
         held_s = 0.0 if held_until_s is None else max(0.0, held_until_s - now_s)
         return self._ending(own_lease, reach_until_s, now_s, held_s)
 
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from comfreywharf.ownership.work_times import WorkTimes
+
 __all__ = [
     "NOTHING_HELD_S",
     "SLOW_CLOCK",
@@ -48,8 +50,8 @@
 
     ``slow_clock`` is the fraction by which a backend server's clock may run slow;
     ``longest_s`` is the longest hold that it accepts, and ``shortest_s`` the
-    shortest that is granted. A hold is renewed when less than ``renew_part`` of a
-    lease is left of it.
+    shortest that is granted. A hold is renewed when less than ``renew_part`` of the
+    shortest lease is left of it, or less than the work takes that may begin under it.
     """
 
     lease_s: float
@@ -155,6 +157,8 @@
     clock ends later by `HoldTerms.slow_clock`. The order's ``hold_s`` is shorter by
     as much, so that the hold still ends by ``until_s``.
 
+    ``work_times`` are the `WorkTimes` of the server's requests.
+
     ``_earlier`` has the replaced holds that may last, by service; ``_stopped`` has the
     highest fence under which a slice is no longer granted.
 
@@ -168,6 +172,7 @@
 
     terms: HoldTerms
     unknown_until_s: float = float("-inf")
+    work_times: WorkTimes = attrs.Factory(WorkTimes)
     _highest_fence: int = -1
     _used_fence: int = -1
     _holds: dict = attrs.Factory(dict)
@@ -230,8 +235,7 @@
             hold = self._begin(slice_id, end, fence, now_s)
         if hold.order_pending or hold.outdated:
             return None
-        left_s = hold.taken_until_s - now_s
-        if left_s > self.terms.renew_part * self.terms.lease_s:
+        if hold.taken_until_s - now_s > self._renew_below_s():
             return None
         hold_s = _hold_s(self.terms, until_s, now_s)
         if hold_s < self.terms.shortest_s or until_s <= hold.taken_until_s:
@@ -252,6 +256,10 @@
             terms=self.terms,
         )
 
+    def _renew_below_s(self):
+        shortest_s = self.terms.renew_part * self.terms.lease_s
+        return max(shortest_s, self.work_times.long_s)
+
     def is_stopped(self, slice_id, fence):
         """Return whether a slice is no longer granted under a fence."""
         return fence <= self._stopped.get(slice_id, -1) or fence <= self._used_fence
@@ -324,11 +332,28 @@
         return any(h.order_pending for h in self._overlapping(service, start, end))
 
     def holds(self, slice_id, fence, now_s):
-        """Return whether a grant under this fence lasts for `HoldTerms.shortest_s`."""
+        """Return whether a grant under this fence may be long enough for a request.
+
+        It has to last for `HoldTerms.shortest_s`, and for as long as nearly every
+        request takes.
+        """
+        left_s = self._left_s(slice_id, fence, now_s)
+        return left_s > max(self.terms.shortest_s, self.work_times.short_s)
+
+    def holds_for_typical_work(self, slice_id, fence, now_s):
+        """Return whether a grant under this fence lasts for a typical request."""
+        left_s = self._left_s(slice_id, fence, now_s)
+        return left_s > max(self.terms.shortest_s, self.work_times.mean_s)
+
+    def _left_s(self, slice_id, fence, now_s):
         hold = self._holds.get(slice_id)
         if hold is None or hold.fence != fence:
-            return False
-        return hold.taken_until_s > now_s + self.terms.shortest_s
+            return 0.0
+        return hold.taken_until_s - now_s
+
+    def earlier_process_granted(self, until_s):
+        """Register that grants of an earlier process of this node may last longer."""
+        self.unknown_until_s = max(self.unknown_until_s, until_s)
 
     def stop(self, service, start, end, fence, now_s):
         """Stop granting a range under its present fence; return that fence.
--- a/comfreywharf/ownership/lostwitnesses.py
+++ b/comfreywharf/ownership/lostwitnesses.py
@@ -28,10 +28,11 @@
     A witness that refuses is present and may have granted the lease to another node;
     only a silent one counts as lost. A node that permanently loses two of three
     witnesses could otherwise never get a majority, and its keys would stay
-    unavailable.
+    unavailable. ``longest_lease_s`` bounds the node's own leases.
     """
 
     terms: object
+    longest_lease_s: float = 0.0
     _answered_s: dict = attrs.Factory(dict)
     _no_majority_since_s: float | None = None
     _probed_s: float = float("-inf")
@@ -58,7 +59,8 @@
             return False
         if self._pending_since_s is None:
             self._pending_since_s = now_s
-        return now_s < self._pending_since_s + self.terms.reset_wait_s
+        wait_s = self.terms.reset_wait_after_s(self.longest_lease_s)
+        return now_s < self._pending_since_s + wait_s
 
     def evaluate(self, witnesses, requesting, now_s):
         """Return ``(wants_probe, wants_reset)`` for a node's current witnesses.
--- a/comfreywharf/ownership/messages.py
+++ b/comfreywharf/ownership/messages.py
@@ -79,10 +79,14 @@
 
 @attrs.frozen(kw_only=True)
 class OwnerView:
-    """The epochs and incarnations of an owner, according to a witness's own fold."""
+    """The epochs and incarnations of an owner, according to a witness's own fold.
+
+    ``longest_lease_s`` bounds its leases; zero means the shortest length.
+    """
 
     incarnation: int = -1
     lease_epoch: int = -1
     lease_incarnation: int = -1
     portfolio_epoch: int = -1
     checks_fences: bool = False
+    longest_lease_s: float = 0.0
--- a/comfreywharf/ownership/quorum.py
+++ b/comfreywharf/ownership/quorum.py
@@ -15,6 +15,7 @@
     portfolio_epoch: int
     lease_epoch: int
     granting: frozenset
+    lease_s: float | None
 
 
 @attrs.define
@@ -24,6 +25,7 @@
     portfolio_epoch: int = -1
     lease_epoch: int = -1
     term: int = 0
+    sent_s: float = NEVER_S
 
 
 class QuorumLease:
@@ -67,12 +69,18 @@
         """Return the witnesses of all groups, each once."""
         return tuple(dict.fromkeys(w for group in self.groups for w in group))
 
-    def begin_round(self, now_s, reach_until_s, portfolio_epoch, lease_epoch=-1):
-        """Register a round of requests to all witnesses; return its number."""
+    def begin_round(
+        self, now_s, reach_until_s, portfolio_epoch, lease_epoch=-1, lease_s=None
+    ):
+        """Register a round of requests to all witnesses; return its number.
+
+        ``lease_s`` is the requested length if it isn't the shortest. A lease must not
+        be requested to end before an earlier request would have it end.
+        """
         self._number += 1
         granting = frozenset(self.witness_terms(now_s))
         self._rounds[self._number] = _Round(
-            now_s, reach_until_s, portfolio_epoch, lease_epoch, granting
+            now_s, reach_until_s, portfolio_epoch, lease_epoch, granting, lease_s
         )
         self._rounds.pop(self._number - KEPT_ROUNDS, None)
         return self._number
@@ -101,7 +109,7 @@
         sent_round = self._rounds.get(number)
         if sent_round is None:
             return
-        until_s = self._terms.held_until_s(sent_round.sent_s)
+        until_s = self._terms.held_until_s(sent_round.sent_s, sent_round.lease_s)
         granted = self._granted.get(witness)
         if granted is not None and self._relied_on_expired_grant(
             sent_round, witness, term, now_s
@@ -115,6 +123,7 @@
             portfolio_epoch=sent_round.portfolio_epoch,
             lease_epoch=sent_round.lease_epoch,
             term=term,
+            sent_s=sent_round.sent_s,
         )
         self._majorities.clear()
 
@@ -164,6 +173,11 @@
         granted = self._granted.get(witness)
         return granted.until_s if granted else NEVER_S
 
+    def confirmed_s(self, witness):
+        """Return when the request was sent that a witness granted last."""
+        granted = self._granted.get(witness)
+        return granted.sent_s if granted else NEVER_S
+
     def witness_terms(self, now_s):
         """Return the terms of the witnesses whose grants currently count."""
         return {
--- a/comfreywharf/ownership/tests/builders.py
+++ b/comfreywharf/ownership/tests/builders.py
@@ -236,7 +236,7 @@
 KEYS = (b"vesta", b"ilze", b"arvids")
 
 
-def make_world(count=5, slices=4, fenced=False):
+def make_world(count=5, slices=4, fenced=False, longest_lease_ms=0):
     """Return a world whose nodes hold their leases and own the slices."""
     node_ids = [f"node-{index}" for index in range(1, count + 1)]
     rates = [1.0 + DRIFT * (index % 2) for index in range(count)]
@@ -244,14 +244,18 @@
     patch = ConfigPatched(
         record_id="config",
         base_version=0,
-        services={SERVICE: ServiceConfig(name=SERVICE, slices=slices)},
+        services={
+            SERVICE: ServiceConfig(
+                name=SERVICE, slices=slices, longest_lease_ms=longest_lease_ms
+            )
+        },
         author="operator",
     )
     world.log += [
         patch,
         PlannerTermStarted(record_id="term", node_id="node-1", base_term=0),
     ]
-    world.run(1.0)
+    world.run(1.0 + 2.0 * longest_lease_ms / 1000)
     moves = [
         SliceMove(
             service=SERVICE,
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -10,6 +10,7 @@
     SendRenewal,
     SendUnclaim,
     Witness,
+    longest_lease_s,
 )
 from comfreywharf.records import ClusterState, NodeAnnounced, fold
 
@@ -242,6 +243,7 @@
             lease_incarnation=member.lease_incarnation,
             portfolio_epoch=member.portfolio_epoch,
             checks_fences=self.world.fenced,
+            longest_lease_s=longest_lease_s(self.state, owner_id),
         )
 
     def on_renewal(self, renewal):
--- a/comfreywharf/ownership/tests/test_mechanisms.py
+++ b/comfreywharf/ownership/tests/test_mechanisms.py
@@ -453,8 +453,12 @@
     return self.held_since_s is not None and self.lease.held(now_s)
 
 
-def without_drift(self, sent_s):
-    return sent_s + self.lease_s * (1 + self.drift)
+def without_drift(self, sent_s, lease_s=None):
+    return sent_s + (lease_s or self.lease_s) * (1 + self.drift)
+
+
+def never_silent(self, started_s, longest_lease_s=0.0):
+    return started_s
 
 
 def start_without_record(original=Holder.grant_received):
@@ -486,7 +490,7 @@
 MECHANISMS = {
     "silence after a restart": (
         restarted_witnesses,
-        lambda: off(LeaseTerms, "silent_until_s", lambda self, started_s: started_s),
+        lambda: off(LeaseTerms, "silent_until_s", never_silent),
     ),
     "portfolio epoch at the witness": (
         stale_standby_after_move,
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -142,7 +142,7 @@
             and not view.checks_fences
         )
         wait_s = self._wait_s(
-            renewal.owner_id, awaits_requests, longest_request_s, now_s
+            renewal.owner_id, view, awaits_requests, longest_request_s, now_s
         )
         # ``vouched`` says that a grant by this witness's earlier process still
         # counts, so that the process granted the lease to no other node. If the
@@ -185,7 +185,9 @@
     def claim(self, claim, view, longest_request_s, now_s):
         """Answer a standby's claim on a share of a lapsed lease."""
         awaits_requests = not view.checks_fences
-        wait_s = self._wait_s(claim.owner_id, awaits_requests, longest_request_s, now_s)
+        wait_s = self._wait_s(
+            claim.owner_id, view, awaits_requests, longest_request_s, now_s
+        )
         if wait_s > 0:
             return self._deny(Denial.SILENT, wait_s)
         watched = self._lookup(claim.owner_id)
@@ -208,7 +210,7 @@
             watched.term = self._new_term()
         return self._grant_share(watched, claim, now_s)
 
-    def _wait_s(self, owner_id, awaits_requests, longest_request_s, now_s):
+    def _wait_s(self, owner_id, view, awaits_requests, longest_request_s, now_s):
         """Return how long this witness still has to refuse grants of a lease.
 
         After a restart it has no record of an owner's outstanding deadlines until that
@@ -217,7 +219,7 @@
         forwarded earlier may outlast their grants; it has to wait for the longest
         possible deadline.
         """
-        until_s = self.silent_until_s
+        until_s = self._terms.silent_until_s(self._started_s, view.longest_lease_s)
         watched = self._watched.get(owner_id)
         if awaits_requests and (watched is None or not watched.was_held):
             until_s = max(until_s, self._started_s + longest_request_s)
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -43,6 +43,9 @@
 simulations of the heaviest days, 2.0 s served 0.65 and 0.72 of the requests' worth and
 1.2 s served 0.72 and 0.76; 0.4 s served no more than 1.2 s."""
 
+RENEWAL_ROOM_S = 0.9
+"""Two renewals of the lease, and one of the hold."""
+
 WITNESSES = 5
 """Up to three machines are lost within two seconds. With three witnesses, every
 twelfth node then loses two of them, and its keys are unavailable for seconds; with
@@ -136,6 +139,7 @@
             longest_s=settings.longest_hold_s,
         )
         book = ListedHoldBook.of_new_process(terms, node.process_start_s)
+        book.work_times = node.leases.work_times
         interval_s = settings.heartbeat_interval_s
         implementations = {
             GrantWay.ORDERS: RangeGrants(node, book, RELEASE_TIMEOUT_S),
@@ -177,6 +181,7 @@
             replace_witness_after_s=REPLACE_WITNESS_AFTER_S,
             stale_after_s=STALE_AFTER_S,
             witnesses=WITNESSES,
+            renewal_room_s=RENEWAL_ROOM_S + self._settings.grant_interval_s,
         )
 
     def make_chooser(self):
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -38,7 +38,8 @@
     ``callers`` is the address to which callers and the backend server beside this
     node send requests, ``ready`` that of the platform's readiness probe, and
     ``heartbeats`` that to which the backend server sends its heartbeats. Times are
-    in seconds.
+    in seconds. ``grant_interval_s`` is the time between two grants if these are
+    answers to heartbeats, and zero if they are sent at any time.
     """
 
     node: NodeSettings
@@ -48,6 +49,7 @@
     heartbeats: Address
     store: Address
     heartbeat_interval_s: float
+    grant_interval_s: float
     drain_s: float
     grace_s: float
     longest_hold_s: float
@@ -187,5 +189,8 @@
         ready=ready,
         heartbeats=heartbeats,
         store=store,
+        grant_interval_s=numbers["heartbeat_interval_s"]
+        if uses_heartbeat_grants
+        else 0.0,
         **numbers,
     )
--- a/comfreywharf/records/services.py
+++ b/comfreywharf/records/services.py
@@ -16,7 +16,9 @@
     ``longest_request_ms`` bounds the timeout of each request, and thereby how
     long a takeover may have to wait for a backend server that doesn't check
     fences. The two weights are relative to each other: a service with a higher
-    weight of churn is rebalanced later and in fewer moves.
+    weight of churn is rebalanced later and in fewer moves. ``longest_lease_ms`` bounds
+    the leases of its owners, which are longer than usual if work takes long; zero
+    means that they are never longer.
     """
 
     name: str
@@ -29,6 +31,7 @@
     queue_length: int = 256
     retry_fraction: float = DEFAULT_RETRY_FRACTION
     max_body_bytes: int = 1 << 30
+    longest_lease_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/comfreywharf/records/validation.py
+++ b/comfreywharf/records/validation.py
@@ -51,6 +51,11 @@
             _within(service.longest_request_ms, 1, MAX_TIME_MS),
             f"1 to {MAX_TIME_MS}",
         ),
+        (
+            "longest_lease_ms",
+            _within(service.longest_lease_ms, 0, MAX_TIME_MS),
+            f"0 to {MAX_TIME_MS}",
+        ),
         (
             "unavailable_weight",
             _within(service.unavailable_weight, 0, MAX_WEIGHT),
--- a/comfreywharf/routes/__init__.py
+++ b/comfreywharf/routes/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from comfreywharf.routes.codec import RouteTableError, decode_table, encode_table
+from comfreywharf.routes.leases import longest_lease_ms
 from comfreywharf.routes.model import (
     CallerLimits,
     GrantWay,
@@ -29,5 +30,6 @@
     "decode_table",
     "encode_table",
     "is_absence_certain",
+    "longest_lease_ms",
     "max_relayed_age_s",
 ]
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -53,7 +53,9 @@
     finishes. The next ``lose_grants`` grant requests take effect ``grant_delay_s``
     seconds late and are never answered. ``accepted_grants`` lists the grants that all
     its incarnations accepted, and ``misdirected`` counts the requests for keys that it
-    didn't hold. Answers carry ``answer_id``, if it is set, as the id of the attempt.
+    didn't hold. Work that lasts longer than the hold that it began under ends with
+    status 500, counted in ``outlasted_holds``. Answers carry ``answer_id``, if it is
+    set, as the id of the attempt.
     While ``heartbeats_off`` is set, the server sends no heartbeats.
 
     With ``uses_hold_lists`` it refuses grant and release requests; the answers to its
@@ -74,6 +76,7 @@
         self.lose_answers = 0
         self.applied_lists = 0
         self.hold_s = 0.0
+        self.outlasted_holds = 0
         self.issued_handovers = []
         self.received_handovers = []
         self._released = []
@@ -345,15 +348,27 @@
         self.headers.append({k: v for k, v in environ.items() if k.startswith("HTTP_")})
         run = Run(request_id, int(text or -1), self.instance, boottime_s())
         self.ledger.append(run)
+        # Work counts on the hold as it is at its beginning, whatever is renewed later.
+        hold_s = None if text is None else self.remaining_hold_s(int(text))
+        finished = self._work(hold_s)
+        headers.append(("X-Attempt-Id", self.answer_id or request_id))
+        headers.append(("X-Response-Stamp", f"stamp-{request_id}"))
+        if not finished:
+            self.outlasted_holds += 1
+            return _respond(start_response, 500, headers, b"the hold has ended")
+        return _respond(start_response, 200, headers, body or b"done")
+
+    def _work(self, hold_s):
+        """Work for ``work_s``; return false if ``hold_s`` was over before the end."""
         self._running.add(gevent.getcurrent())
         try:
-            gevent.sleep(self.work_s)
-            self.may_finish.wait()
+            with gevent.Timeout(hold_s, False):
+                gevent.sleep(self.work_s)
+                self.may_finish.wait()
+                return True
+            return False
         finally:
             self._running.discard(gevent.getcurrent())
-        headers.append(("X-Attempt-Id", self.answer_id or request_id))
-        headers.append(("X-Response-Stamp", f"stamp-{request_id}"))
-        return _respond(start_response, 200, headers, body or b"done")
 
 
 def _respond(start_response, status, headers=(), body=b""):
