Let leases be as long as allowed until work times are known

Cause: a new process took its server's work for short until it had seen some, and the first long requests of each server ended with their holds.

Change: before eight requests, the bound of the service counts.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -147,6 +147,7 @@
         own_lease = self.own_lease(state)
         longest_s = longest_lease_s(state, self._node_id)
         self._groups.lost.longest_lease_s = longest_s
+        self.work_times.assumed_s = max(0.0, longest_s - self._terms.renewal_room_s)
         self.holder.lease_s = lease_length_s(
             self.work_times.long_s, self._terms, longest_s
         )
--- a/comfreywharf/ownership/work_times.py
+++ b/comfreywharf/ownership/work_times.py
@@ -12,6 +12,9 @@
 SAMPLES = 32
 """The number of requests that the estimates cover."""
 
+FEWEST_SAMPLES = 8
+"""The number of requests from which on the estimates are used."""
+
 DEVIATIONS = 4
 """Distance of the long from the mean work time, in mean deviations. Of work times with
 a long tail, one in fifty is longer."""
@@ -27,15 +30,19 @@
     Mean and mean deviation are tracked as a transport protocol tracks round-trip
     times (Jacobson, 1988), which needs no stored samples and converges within some
     dozens of requests. Times that a hold cut short count as well: while they lengthen
-    the estimate, the next holds are longer.
+    the estimate, the next holds are longer. ``assumed_s`` is assumed of long work
+    before `FEWEST_SAMPLES`.
 
-    >>> times = WorkTimes()
-    >>> for elapsed_s in (0.4, 0.6, 0.5):
+    >>> times = WorkTimes(assumed_s=2.0)
+    >>> times.long_s
+    2.0
+    >>> for elapsed_s in (0.4, 0.6, 0.5, 0.5, 0.4, 0.6, 0.5, 0.5):
     ...     times.add(elapsed_s)
     >>> round(times.mean_s, 2), round(times.long_s, 2)
-    (0.5, 0.8)
+    (0.5, 0.71)
     """
 
+    assumed_s: float = 0.0
     mean_s: float = 0.0
     _deviation_s: float = 0.0
     _count: int = 0
@@ -50,7 +57,9 @@
 
     @property
     def long_s(self):
-        """Return a time that hardly any request exceeds; 0 if none is known."""
+        """Return a time that hardly any request exceeds."""
+        if self._count < FEWEST_SAMPLES:
+            return self.assumed_s
         return self.mean_s + DEVIATIONS * self._deviation_s
 
     @property
