Send peers what changed in the routes, not the whole table

Cause: each relay sent the whole table, uncompressed, to each of up to 16 members at each version: 378 KB for 2,000 routes.

Change: a peer names its version and the form that it reads, and gets the changes since, or the whole table compressed; each is encoded once. Digests of base and result keep two nodes from meaning different tables by one version. What can't be applied changes nothing, is counted and told once, and whole tables are asked for. Nodes of the build before send and get whole tables as before.

--- a/comfreywharf/daemon/membership/gossip.py
+++ b/comfreywharf/daemon/membership/gossip.py
@@ -18,6 +18,7 @@
 from comfreywharf.membership.gossip import GossipInterval, choose_partners, push_count
 from comfreywharf.membership.relays import RelayedAge
 from comfreywharf.records.snapshots import SnapshotAssembler
+from comfreywharf.routes import RouteTableError, UpdateForm
 from comfreywharf.transport import CallError, PeerClient
 from comfreywharf.transport.gen.ttypes import (
     ExchangeReply,
@@ -52,6 +53,10 @@
 MAX_SNAPSHOT_BYTES = 3 << 20
 """Limit for a snapshot in one reply, below the maximum size of a thrift frame."""
 
+MAX_REPORTED_ROUTES = 256
+"""How many pairs of peer and cause are remembered, for which unreadable routes were
+reported."""
+
 SNAPSHOT_OFFSET = -1
 """The offset under which a reply carries the parts of a snapshot."""
 
@@ -73,6 +78,7 @@
         self._encoding = BoundedSemaphore()
         self._snapshot = []
         self._snapshot_offset = -1
+        self._reported_routes = set()
         self._seeds = {
             (seed.host, seed.port): PeerClient(seed.host, seed.port, node.reporter)
             for seed in node.settings.seeds
@@ -119,17 +125,27 @@
             now_s = boottime_s()
         known = frozenset(notice.notice_id for notice in request.notices)
         records = self._records_for(request.next_offset)
+        routes, update = self._routes_for(request)
         return ExchangeReply(
             next_offset=node.follower.state.next_offset,
             records=pack_records(records) if records else b"",
             notices=node.notices.to_send(now_s, known),
             event_clock=0,
             routes_version=node.routes.version,
-            routes=node.routes.document_after(request.routes_version),
+            routes=routes,
+            routes_update=update,
             log_age_ms=_age_ms(now_s - node.follower.confirmed_s),
             routes_age_ms=_age_ms(node.routes.age_s(now_s)),
         )
 
+    def _routes_for(self, request):
+        """Return the table for a peer that reads no updates, and else the update."""
+        form = UpdateForm.named(request.routes_form)
+        if form is UpdateForm.NONE:
+            return self._node.routes.document_after(request.routes_version), None
+        update = self._node.routes.update_after(request.routes_version, form)
+        return b"", update or None
+
     def _await_news(self, request, until_s):
         """Wait until there are records or routes that a peer doesn't have."""
         until_s = min(until_s, boottime_s() + MAX_LONG_POLL_S)
@@ -284,6 +300,7 @@
             notices=node.notices.to_send(boottime_s()),
             event_clock=0,
             routes_version=node.routes.version,
+            routes_form=node.routes.form,
             wait_ms=int(wait_s * 1000),
             host=node.settings.host,
             peer_port=node.settings.advertised_peer_port or node.settings.peer_port,
@@ -306,15 +323,27 @@
         The reported age counts from the answer, which came after the request was sent.
         """
         routes = self._node.routes
-        if reply.routes and routes.apply_document(reply.routes):
-            self._node.report(
-                "routes_in_force",
-                version=routes.version,
-                source=f"{client.host}:{client.port}",
-            )
+        source = f"{client.host}:{client.port}"
+        try:
+            applied = _apply_routes_of(reply, routes)
+        except RouteTableError as error:
+            self._report_unreadable_routes(source, error)
+            return
+        if applied:
+            self._node.report("routes_in_force", version=routes.version, source=source)
         if reply.routes_age_ms >= 0 and routes.version >= reply.routes_version:
             routes.confirm(sent_s - reply.routes_age_ms / 1000)
 
+    def _report_unreadable_routes(self, source, error):
+        """Count unreadable routes, and report them once for each peer and cause."""
+        self._node.metrics.unreadable_routes_received()
+        cause = (source, str(error))
+        if cause not in self._reported_routes:
+            if len(self._reported_routes) >= MAX_REPORTED_ROUTES:
+                self._reported_routes.clear()
+            self._reported_routes.add(cause)
+            self._node.report("unreadable_routes", peer=source, error=str(error))
+
     def _fold_records(self, records):
         """Fold a peer's records, or its snapshot; return whether any was new."""
         follower = self._node.follower
@@ -330,6 +359,16 @@
         return advanced
 
 
+def _apply_routes_of(reply, routes):
+    """Apply the routes in a reply, if any; return whether they were newer.
+
+    Raises `RouteTableError` if an update can't be applied.
+    """
+    if reply.routes_update:
+        return routes.apply_update(reply.routes_update)
+    return bool(reply.routes) and routes.apply_document(reply.routes)
+
+
 def _records_in(reply):
     """Return the records in a reply; raises `CallError` if they are unreadable."""
     if not reply.records:
--- a/comfreywharf/daemon/requests/routes.py
+++ b/comfreywharf/daemon/requests/routes.py
@@ -7,9 +7,13 @@
     RouteTable,
     RouteTableError,
     Splitter,
+    TableHistory,
+    UpdateForm,
+    apply_update,
     decode_table,
+    decode_update,
     encode_table,
-    longest_lease_ms,
+    longest_leases_ms,
 )
 
 __all__ = ["Routes"]
@@ -26,7 +30,9 @@
         self._retry_fraction = retry_fraction
         self.table = RouteTable()
         self.splitter = Splitter()
-        self._document = b""
+        self._document = None
+        self._history = TableHistory()
+        self._form = UpdateForm.DELTA
         self._services = {}
         self._listeners = []
         self._confirmed_s = float("-inf")
@@ -48,9 +54,42 @@
         """Call ``listener(table)`` after each change."""
         self._listeners.append(listener)
 
+    @property
+    def form(self):
+        """Return the `UpdateForm` to ask peers for."""
+        return self._form
+
     def document_after(self, version):
-        """Return the table as bytes if it is newer than ``version``, else ``b""``."""
-        return self._document if self.version > version else b""
+        """Return the table for a peer that reads no updates.
+
+        ``b""`` means that its ``version`` is not older.
+        """
+        if self.version <= version:
+            return b""
+        if self._document is None:
+            self._document = encode_table(self.table)
+        return self._document
+
+    def update_after(self, version, form):
+        """Return an update for a peer; ``b""`` if its ``version`` is not older."""
+        return self._history.update_for(version, form)
+
+    def apply_update(self, data):
+        """Apply a peer's update; return whether it was newer.
+
+        Raises `RouteTableError` if it can't be applied, and then asks for whole tables
+        until one was. The routes in force stay.
+        """
+        try:
+            update = decode_update(data)
+            if update.version <= self.version:
+                return False
+            table = apply_update(update, self._history.table(update.base_version))
+        except RouteTableError:
+            self._form = UpdateForm.WHOLE
+            raise
+        self._form = UpdateForm.DELTA
+        return self.apply(table)
 
     def apply_document(self, document):
         """Decode and apply a peer's table; return whether it was newer."""
@@ -69,14 +108,16 @@
             return False
         self.table = table
         self.splitter.keep(route.name for route in table.routes)
-        self._document = encode_table(table)
+        self._document = None
+        self._history.add(table)
+        longest_ms = longest_leases_ms(table)
         self._services = {
             service.name: ServiceConfig(
                 name=service.name,
                 divided_by_key=service.divided_by_number,
                 max_body_bytes=table.limits.body_bytes,
                 retry_fraction=self._retry_fraction,
-                longest_lease_ms=longest_lease_ms(table, service.name),
+                longest_lease_ms=longest_ms.get(service.name, 0),
             )
             for service in table.services
         }
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -175,6 +175,13 @@
             "fold-lag",
             "For how long the routes in force here may have been out of date",
         ),
+        _family(
+            "unreadable_routes_total",
+            _COUNTER,
+            "",
+            "fold-lag",
+            "Routes of peers that couldn't be applied here",
+        ),
         _family(
             "loop_late_seconds",
             _HISTOGRAM,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -66,6 +66,7 @@
         self.backend_requests = defaultdict(int)
         self.events = defaultdict(int)
         self.lateness = Buckets()
+        self.unreadable_routes = 0
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -92,6 +93,10 @@
         """Add the time in which this node owned slices but couldn't serve them."""
         self.owner_unavailable_s[service] += slices * duration_s
 
+    def unreadable_routes_received(self):
+        """Count routes of a peer that couldn't be applied."""
+        self.unreadable_routes += 1
+
     def loop_woke(self, late_s):
         """Record a wake-up of the event loop, ``late_s`` later than it was due."""
         self.lateness.add(max(0.0, late_s))
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -85,6 +85,7 @@
         "config_version": _unlabelled(gauges.config_version),
         "routes_version": _unlabelled(gauges.routes_version),
         "routes_age_seconds": _unlabelled(gauges.routes_age_s),
+        "unreadable_routes_total": _unlabelled(metrics.unreadable_routes),
         "loop_late_seconds": _unlabelled(metrics.lateness),
     }
 
--- a/comfreywharf/routes/__init__.py
+++ b/comfreywharf/routes/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from comfreywharf.routes.codec import RouteTableError, decode_table, encode_table
-from comfreywharf.routes.leases import longest_lease_ms
+from comfreywharf.routes.history import TableHistory, UpdateForm
+from comfreywharf.routes.leases import longest_leases_ms
 from comfreywharf.routes.model import (
     CallerLimits,
     GrantWay,
@@ -17,6 +18,12 @@
 )
 from comfreywharf.routes.splits import Splitter
 from comfreywharf.routes.staleness import is_absence_certain, max_relayed_age_s
+from comfreywharf.routes.updates import (
+    RoutesUpdate,
+    apply_update,
+    decode_update,
+    encode_update,
+)
 
 __all__ = [
     "CallerLimits",
@@ -26,10 +33,16 @@
     "RouteTable",
     "RouteTableError",
     "RoutedService",
+    "RoutesUpdate",
     "Splitter",
+    "TableHistory",
+    "UpdateForm",
+    "apply_update",
     "decode_table",
+    "decode_update",
     "encode_table",
+    "encode_update",
     "is_absence_certain",
-    "longest_lease_ms",
+    "longest_leases_ms",
     "max_relayed_age_s",
 ]
--- a/comfreywharf/routes/codec.py
+++ b/comfreywharf/routes/codec.py
@@ -11,7 +11,7 @@
     RouteTable,
 )
 
-__all__ = ["RouteTableError", "decode_table", "encode_table"]
+__all__ = ["RouteTableError", "decode_table", "encode_table", "service_of_fields"]
 
 
 class RouteTableError(ValueError):
@@ -34,13 +34,18 @@
         return RouteTable(
             version=fields["version"],
             routes=tuple(_route(route) for route in fields["routes"]),
-            services=tuple(RoutedService(**entry) for entry in fields["services"]),
+            services=tuple(map(service_of_fields, fields["services"])),
             limits=CallerLimits(**fields["limits"]),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise RouteTableError(f"expected a JSON route table: {error!r}") from error
 
 
+def service_of_fields(fields):
+    """Return the `RoutedService` of decoded fields; raises `TypeError`."""
+    return RoutedService(**fields)
+
+
 def _route(fields):
     parts = tuple(Part(**part) for part in fields["parts"])
     return Route(**{**fields, "parts": parts})
--- a/comfreywharf/routes/model.py
+++ b/comfreywharf/routes/model.py
@@ -83,7 +83,9 @@
 class RouteTable:
     """One version of all routes, services and limits.
 
-    Version 0 is the empty table that is used before the first one is received.
+    Version 0 is the empty table that is used before the first one is received. Of two
+    routes for one host and prefix, the one with the greater name is used, so that all
+    nodes choose the same whatever the order of the routes.
     """
 
     version: int = 0
@@ -95,7 +97,11 @@
 
     @_by_prefix.default
     def _index_routes(self):
-        return {(route.host, route.path_prefix): route for route in self.routes}
+        index = {(route.host, route.path_prefix): route for route in self.routes}
+        if len(index) < len(self.routes):
+            ordered = sorted(self.routes, key=lambda route: route.name)
+            index = {(route.host, route.path_prefix): route for route in ordered}
+        return index
 
     @_by_name.default
     def _index_services(self):
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -2070,6 +2070,7 @@
      - wait_ms
      - host
      - peer_port
+     - routes_form
 
     """
 
@@ -2083,10 +2084,11 @@
         'wait_ms',
         'host',
         'peer_port',
+        'routes_form',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None, host=None, peer_port=None,):
+    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None, host=None, peer_port=None, routes_form=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.next_offset = next_offset
@@ -2096,6 +2098,7 @@
         self.wait_ms = wait_ms
         self.host = host
         self.peer_port = peer_port
+        self.routes_form = routes_form
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2157,6 +2160,11 @@
                     self.peer_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.routes_form = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2206,6 +2214,10 @@
             oprot.writeFieldBegin('peer_port', TType.I32, 9)
             oprot.writeI32(self.peer_port)
             oprot.writeFieldEnd()
+        if self.routes_form is not None:
+            oprot.writeFieldBegin('routes_form', TType.I32, 10)
+            oprot.writeI32(self.routes_form)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2260,6 +2272,7 @@
      - routes
      - log_age_ms
      - routes_age_ms
+     - routes_update
 
     """
 
@@ -2272,10 +2285,11 @@
         'routes',
         'log_age_ms',
         'routes_age_ms',
+        'routes_update',
     )
 
 
-    def __init__(self, next_offset=None, records=None, notices=None, event_clock=None, routes_version=None, routes=None, log_age_ms=None, routes_age_ms=None,):
+    def __init__(self, next_offset=None, records=None, notices=None, event_clock=None, routes_version=None, routes=None, log_age_ms=None, routes_age_ms=None, routes_update=None,):
         self.next_offset = next_offset
         self.records = records
         self.notices = notices
@@ -2284,6 +2298,7 @@
         self.routes = routes
         self.log_age_ms = log_age_ms
         self.routes_age_ms = routes_age_ms
+        self.routes_update = routes_update
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2340,6 +2355,11 @@
                     self.routes_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.routes_update = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2385,6 +2405,10 @@
             oprot.writeFieldBegin('routes_age_ms', TType.I32, 8)
             oprot.writeI32(self.routes_age_ms)
             oprot.writeFieldEnd()
+        if self.routes_update is not None:
+            oprot.writeFieldBegin('routes_update', TType.STRING, 9)
+            oprot.writeBinary(self.routes_update)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3100,6 +3124,7 @@
     (7, TType.I32, 'wait_ms', None, None, ),  # 7
     (8, TType.STRING, 'host', 'UTF8', None, ),  # 8
     (9, TType.I32, 'peer_port', None, None, ),  # 9
+    (10, TType.I32, 'routes_form', None, None, ),  # 10
 )
 all_structs.append(ExchangeReply)
 ExchangeReply.thrift_spec = (
@@ -3112,6 +3137,7 @@
     (6, TType.STRING, 'routes', 'BINARY', None, ),  # 6
     (7, TType.I32, 'log_age_ms', None, None, ),  # 7
     (8, TType.I32, 'routes_age_ms', None, None, ),  # 8
+    (9, TType.STRING, 'routes_update', 'BINARY', None, ),  # 9
 )
 all_structs.append(SliceLoad)
 SliceLoad.thrift_spec = (
--- a/comfreywharf_dev/standins/fleet.py
+++ b/comfreywharf_dev/standins/fleet.py
@@ -20,6 +20,7 @@
 from comfreywharf.daemon.records.logclient import LogClient
 from comfreywharf.daemon.records.snapshots import SnapshotWriter
 from comfreywharf.daemon.requests.routes import Routes
+from comfreywharf.metrics import Metrics
 from comfreywharf.records import ConfigPatched, NodeAnnounced, ServiceConfig
 from comfreywharf.settings.model import Address
 from comfreywharf.transport import PeerServer
@@ -80,6 +81,7 @@
         self.peers = Peers(self.follower, self.reporter)
         self.notices = Notices()
         self.routes = Routes()
+        self.metrics = Metrics()
         self.gossip = Gossip(self, rng)
         self.snapshots = SnapshotWriter(node_id, self.follower, self.report)
         self.server = PeerServer(
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -167,7 +167,8 @@
   6: required i64 routes_version,      // 0: the sender has none
   7: required i32 wait_ms,             // how long the answer may wait for new records
   8: required string host,             // the address of the sender's peer port
-  9: required i32 peer_port
+  9: required i32 peer_port,
+  10: optional i32 routes_form         // 1: reads whole updates, 2: deltas as well
 }
 
 struct ExchangeReply {
@@ -178,7 +179,8 @@
   5: required i64 routes_version,
   6: required binary routes,           // empty unless the requester's are older
   7: required i32 log_age_ms,          // since the log confirmed the fold; -1: never
-  8: required i32 routes_age_ms        // the same for the routes
+  8: required i32 routes_age_ms,       // the same for the routes
+  9: optional binary routes_update     // in place of routes, if routes_form is named
 }
 
 struct SliceLoad {
