Let witnesses look for lapsed leases when one is due, and at changes of members

Cause: each node walked through all members 20 times a second to find the owners that it watches, and worked out the rank of every member for each choice of a relay: a cost by the size of the fleet, paid while nothing changes.

Change: a witness tells when its next notice is due (a pure function) and sleeps until then, 0.5 s at most, since timers stand still on a suspended machine; the watched owners are found anew when a record changes members or witnesses. A lease that is given up wakes it. Ranks are kept.

--- a/comfreywharf/daemon/ownership/witnessing.py
+++ b/comfreywharf/daemon/ownership/witnessing.py
@@ -2,6 +2,7 @@
 
 import gevent
 from absl import logging
+from gevent.event import Event
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.ownership.lease_messages import (
@@ -16,15 +17,28 @@
     Witness,
     longest_lease_s,
 )
+from comfreywharf.records import (
+    LeaseStarted,
+    NodeAnnounced,
+    NodeRemoved,
+    WitnessesReset,
+)
 from comfreywharf.transport import CallError
 from comfreywharf.transport.gen.ttypes import LapsedNotice
 
 __all__ = ["Witnessing"]
 
-TICK_S = 0.05
+MAX_WAIT_S = 0.5
+"""The longest wait for the next notice. While a machine is suspended its timers stand
+still, and a lease that lapsed meanwhile is noticed by the end of this time."""
+
+MIN_WAIT_S = 0.02
 NOTICE_TIMEOUT_S = 0.3
 DEFAULT_LONGEST_REQUEST_S = 5.0
 
+_CHANGING_WITNESSES = (NodeAnnounced, LeaseStarted, WitnessesReset, NodeRemoved)
+"""Records that may change whose witness a node is."""
+
 
 class Witnessing:
     """Act as a witness for the leases of other nodes.
@@ -37,18 +51,50 @@
         self._node = node
         self._terms = terms
         self._witness = None
+        self._watched_ids = None
+        self._due = Event()
+        node.follower.subscribe(self._on_folded)
+        node.follower.subscribe_loaded(self._members_changed)
 
     def begin(self, now_s):
         """Start to answer; the silent period after a restart begins at ``now_s``."""
         self._witness = Witness(self._terms, now_s, self._node.incarnation)
+        self._due.set()
 
     def run(self):
         """Notify the takers of expired leases until the greenlet is killed."""
         while True:
-            gevent.sleep(TICK_S)
-            if self._witness is None:
-                continue
-            self._notify_takers(boottime_s())
+            self._due.wait(self._wait_s(boottime_s()))
+            self._due.clear()
+            if self._witness is not None:
+                self._notify_takers(boottime_s())
+
+    def _wait_s(self, now_s):
+        if self._witness is None:
+            return None
+        due_s = self._witness.next_notice_s(self._watched_owners()) - now_s
+        return min(max(due_s, MIN_WAIT_S), MAX_WAIT_S)
+
+    def _on_folded(self, record, result):
+        if result.changed and isinstance(record, _CHANGING_WITNESSES):
+            self._members_changed()
+
+    def _members_changed(self):
+        self._watched_ids = None
+        self._due.set()
+
+    def _watched_owners(self):
+        """Return the owners whose witness this node is."""
+        if self._watched_ids is None:
+            members = self._node.follower.state.members
+            own_id = self._node.settings.node_id
+            self._watched_ids = [
+                member.node_id
+                for member in members.values()
+                if any(own_id in group for group in member.witness_groups)
+            ]
+            self._witness.drop_owners_except(members, boottime_s())
+        return self._watched_ids
 
     def renew(self, request):
         """Answer an owner's `Renewal`."""
@@ -58,6 +104,9 @@
             return grant_reply(Grant(granted=False, denial=Denial.SILENT))
         if view is None:
             return grant_reply(Grant(granted=False, denial=Denial.STALE))
+        if renewal.lease_s < self._terms.lease_s:
+            # The owner gives its lease up, and its standbys are to be told now.
+            self._due.set()
         return grant_reply(
             self._witness.renew(renewal, view, self._longest_request_s(), boottime_s())
         )
@@ -108,14 +157,7 @@
 
     def _notify_takers(self, now_s):
         state = self._node.follower.state
-        own_id = self._node.settings.node_id
-        watched = [
-            member.node_id
-            for member in state.members.values()
-            if any(own_id in group for group in member.witness_groups)
-        ]
-        self._witness.drop_owners_except(state.members, now_s)
-        lapsed = self._witness.lapsed_owners(watched, now_s)
+        lapsed = self._witness.lapsed_owners(self._watched_owners(), now_s)
         if not lapsed:
             return
         for owner_id in lapsed:
--- a/comfreywharf/membership/relays.py
+++ b/comfreywharf/membership/relays.py
@@ -8,6 +8,8 @@
 different members, each still receives from a relay that reports the age of its data.
 """
 
+import functools
+
 import attrs
 import xxhash
 
@@ -21,10 +23,14 @@
 """How long a relay that didn't answer, or had stale data, isn't queried again, in
 seconds. A restart takes about as long; an earlier query would cost its timeout."""
 
+KEPT_RANKS = 4096
+"""The number of members whose rank is kept, several times the largest fleet."""
+
 LEVEL_AGE_S = 0.6
 """How much older data may be with each level, in seconds: one wait and a margin."""
 
 
+@functools.lru_cache(maxsize=KEPT_RANKS)
 def _rank(node_id):
     return xxhash.xxh3_64_intdigest(node_id.encode()), node_id
 
--- /dev/null
+++ b/comfreywharf/ownership/tests/test_due_notices.py
@@ -0,0 +1,67 @@
+"""When a witness has to look for leases that have lapsed."""
+
+import math
+
+from hypothesis import given, strategies as st
+
+from comfreywharf.ownership import LeaseTerms, OwnerView, Renewal, Witness
+
+TERMS = LeaseTerms(lease_s=1.0, drift=0.0)
+OWNERS = ("a", "b", "c")
+VIEW = OwnerView(incarnation=1, lease_epoch=1, lease_incarnation=1, checks_fences=True)
+
+
+def renew(witness, owner_id, number, now_s):
+    renewal = Renewal(
+        owner_id=owner_id,
+        incarnation=1,
+        lease_epoch=1,
+        portfolio_epoch=1,
+        lease_s=1.0,
+        reach_s=0.0,
+        round=number,
+    )
+    return witness.renew(renewal, VIEW, 5.0, now_s).granted
+
+
+def test_a_witness_of_nobody_has_nothing_due():
+    assert Witness(TERMS, 0.0, 1).next_notice_s(()) == math.inf
+
+
+def test_owners_that_renew_cost_one_look_a_lease():
+    """Guards against witnesses that walk through all members many times a second."""
+    witness, looks = Witness(TERMS, 0.0, 1), 0
+    now_s = 1.0
+    due_s = now_s
+    while now_s < 11.0:
+        for number, owner_id in enumerate(OWNERS):
+            assert renew(witness, owner_id, round(now_s * 100) + number, now_s)
+        if now_s >= due_s:
+            looks += 1
+            assert witness.lapsed_owners(OWNERS, now_s) == []
+            due_s = witness.next_notice_s(OWNERS)
+        now_s += 0.25
+    assert looks <= 11
+
+
+@given(st.lists(st.tuples(st.sampled_from(OWNERS), st.integers(1, 30)), max_size=30))
+def test_no_lapse_is_missed_by_sleeping_until_the_next_is_due(renewals):
+    """Guards against an owner that is lost and whose standbys are never told."""
+    sleeping, ticking = Witness(TERMS, 0.0, 1), Witness(TERMS, 0.0, 1)
+    due_s, told, wanted = 0.0, [], []
+    step, number = 100, 0
+    schedule = []
+    for owner_id, wait in renewals:
+        step += wait
+        schedule.append((step, owner_id))
+    for now in range(100, step + 200):
+        now_s = now / 100
+        for _, owner_id in [entry for entry in schedule if entry[0] == now]:
+            number += 1
+            for witness in (sleeping, ticking):
+                renew(witness, owner_id, number, now_s)
+        wanted += [(o, now) for o in ticking.lapsed_owners(OWNERS, now_s)]
+        if now_s >= due_s:
+            told += [(o, now) for o in sleeping.lapsed_owners(OWNERS, now_s)]
+            due_s = sleeping.next_notice_s(OWNERS)
+    assert told == wanted
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -12,6 +12,8 @@
 slices.
 """
 
+import math
+
 import attrs
 
 from comfreywharf.ownership.messages import Denial, Grant
@@ -284,11 +286,22 @@
             return []
         return [owner_id for owner_id in owner_ids if self._notice_due(owner_id, now_s)]
 
-    def _notice_due(self, owner_id, now_s):
+    def next_notice_s(self, owner_ids):
+        """Return when `lapsed_owners` has to be called next, if no lease is renewed.
+
+        It is infinite if there are no owners.
+        """
+        due_s = min(map(self._notice_due_s, owner_ids), default=math.inf)
+        return max(due_s, self.silent_until_s)
+
+    def _notice_due_s(self, owner_id):
         watched = self._lookup(owner_id)
-        if now_s < watched.expires_s or now_s < watched.notified_s + NOTICE_INTERVAL_S:
+        return max(watched.expires_s, watched.notified_s + NOTICE_INTERVAL_S)
+
+    def _notice_due(self, owner_id, now_s):
+        if now_s < self._notice_due_s(owner_id):
             return False
-        watched.notified_s = now_s
+        self._lookup(owner_id).notified_s = now_s
         return True
 
     def drop_owners_except(self, owner_ids, now_s):
