--- a/comfreywharf/daemon/ownership/witnessing.py
+++ b/comfreywharf/daemon/ownership/witnessing.py
@@ -76,7 +76,7 @@
         return min(max(due_s, MIN_WAIT_S), MAX_WAIT_S)
 
     def _on_folded(self, record, result):
-        if result.changed and isinstance(record, _CHANGING_WITNESSES):
+        if result.accepted and isinstance(record, _CHANGING_WITNESSES):
             self._members_changed()
 
     def _members_changed(self):
