Begin work under any renewed hold, however long work seems to take

Cause: a request began only if its hold had as much left as nearly every request takes. Where the bound of the service keeps leases short and the server turns slow, no hold has, so that no request would begin and no sample would correct the estimate.

Change: half of the shortest lease is enough; a renewed hold always has that. Views of owners whose claims were denied are dropped once the pause is over.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -316,6 +316,11 @@
             or claim.held_since_s is not None
         ):
             return []
+        self._denied_views = {
+            known_id: (view, until_s)
+            for known_id, (view, until_s) in self._denied_views.items()
+            if now_s < until_s
+        }
         pause_s = DENIED_PAUSES_S[denial]
         self._denied_views[owner_id] = (claim.view, now_s + pause_s)
         return self._end_claim(claim, now_s)
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -25,6 +25,9 @@
 """The end of all holds of a backend server that has certainly crashed. ``None`` stands
 for an end that isn't known."""
 
+MOST_WANTED_PART = 0.5
+"""The largest part of the shortest lease that has to be left of a hold."""
+
 SLOW_CLOCK = 0.02
 """The fraction by which a backend server's clock may run slow."""
 
@@ -338,12 +341,21 @@
         request takes.
         """
         left_s = self._left_s(slice_id, fence, now_s)
-        return left_s > max(self.terms.shortest_s, self.work_times.short_s)
+        return left_s > self._wanted_s(self.work_times.short_s)
 
     def holds_for_typical_work(self, slice_id, fence, now_s):
         """Return whether a grant under this fence lasts for a typical request."""
         left_s = self._left_s(slice_id, fence, now_s)
-        return left_s > max(self.terms.shortest_s, self.work_times.mean_s)
+        return left_s > self._wanted_s(self.work_times.mean_s)
+
+    def _wanted_s(self, work_s):
+        """Return how much of a hold has to be left to begin work of a length.
+
+        It is never more than a renewed hold has, however long work seems to take:
+        without requests nothing could correct the estimate.
+        """
+        most_s = MOST_WANTED_PART * self.terms.lease_s
+        return max(self.terms.shortest_s, min(work_s, most_s))
 
     def _left_s(self, slice_id, fence, now_s):
         hold = self._holds.get(slice_id)
