--- a/comfreywharf/declarations/fields.py
+++ b/comfreywharf/declarations/fields.py
@@ -36,6 +36,10 @@
     Key("longest_lease_ms", IntegerKind(0, MAX_LEASE_MS, "ms")),
 )
 
+LEFT_OUT_AT_DEFAULT = frozenset({"longest_lease_ms"})
+"""Keys that are written only with another value than their default. A node of an
+earlier build doesn't know them and refuses a declaration that has them."""
+
 _KEYS_BY_NAME = {key.name: key for key in SERVICE_KEYS}
 
 
@@ -45,8 +49,12 @@
     >>> service_to_fields(ServiceConfig(name="booking"))["divided_by_key"]
     'yes'
     """
+    default = ServiceConfig(name=service.name)
     return {
-        key.name: key.kind.write(getattr(service, key.name)) for key in SERVICE_KEYS
+        key.name: key.kind.write(getattr(service, key.name))
+        for key in SERVICE_KEYS
+        if key.name not in LEFT_OUT_AT_DEFAULT
+        or getattr(service, key.name) != getattr(default, key.name)
     }
 
 
--- a/comfreywharf/declarations/tests/test_declarations.py
+++ b/comfreywharf/declarations/tests/test_declarations.py
@@ -134,3 +134,13 @@
         "-   slices = 64",
         "+   slices = 8",
     ]
+
+
+def test_a_key_that_earlier_builds_lack_is_only_written_with_a_value():
+    """Guards against declarations of the new tool that nodes of the build before
+    refuse."""
+    assert "longest_lease_ms" not in service_to_fields(ServiceConfig(name="booking"))
+    service = ServiceConfig(name="booking", longest_lease_ms=4000)
+    fields = service_to_fields(service)
+    assert fields["longest_lease_ms"] == "4000"
+    assert service_from_fields("booking", fields).unwrap() == service
