Deny a standby's claim beside its own earlier one again, with or without fences

Denied claims pause for 0.25 s for either reason: a witness that has just restarted calls the newest view stale.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -38,8 +38,11 @@
 CLAIM_PAUSE_LEASES = 1.0
 SCAN_INTERVAL_S = 0.25
 
-DENIED_PAUSES_S = {Denial.STALE: 1.0, Denial.OTHER_VIEW: 0.25}
-"""How long no claim is begun on the view of an owner for which one was denied."""
+DENIED_PAUSE_S = 0.25
+"""How long no claim is begun on the view of an owner for which one was denied. A witness
+that has just restarted denies a view that is the newest."""
+
+_OUTDATED_DENIALS = frozenset({Denial.STALE, Denial.OTHER_VIEW})
 
 _MOVING = (SlicesMoved, SlicesTaken, MoveCompleted)
 """Records after which a release may have to be requested."""
@@ -311,7 +314,7 @@
         """
         claim = self.claims.get(owner_id)
         if (
-            denial not in DENIED_PAUSES_S
+            denial not in _OUTDATED_DENIALS
             or claim is None
             or claim.held_since_s is not None
         ):
@@ -321,8 +324,7 @@
             for known_id, (view, until_s) in self._denied_views.items()
             if now_s < until_s
         }
-        pause_s = DENIED_PAUSES_S[denial]
-        self._denied_views[owner_id] = (claim.view, now_s + pause_s)
+        self._denied_views[owner_id] = (claim.view, now_s + DENIED_PAUSE_S)
         return self._end_claim(claim, now_s)
 
     def _send_claim(self, claim, now_s):
--- a/comfreywharf/ownership/ended_claims.py
+++ b/comfreywharf/ownership/ended_claims.py
@@ -9,8 +9,8 @@
 
 
 @attrs.define
-class _EndedView:
-    """The claims on one view of an owner: the newest, and the ranges of all."""
+class _EndedClaim:
+    """The newest claim on an owner that has ended, and the ranges of all of them."""
 
     claim: object
     ranges: frozenset
@@ -18,12 +18,13 @@
 
 
 class EndedClaims:
-    """Determine until when an ended claim keeps other takers waiting.
+    """Determine until when an ended claim keeps further claims waiting.
 
     A server that checks fences stops its work when its grants end. Any other server
     may run a request until its deadline, so that a claim acts for as long as requests
     for its share are in flight. Only these count: with all requests of the node, a
-    busy taker would keep the keys unavailable for the longest of its deadlines.
+    busy taker would keep the keys unavailable for the longest of its deadlines. The
+    witnesses are told once they are answered.
     """
 
     def __init__(self, inflight, fenced):
@@ -41,15 +42,16 @@
         """
         if self._fenced:
             return self._grants_until_s(claim, recorded, now_s, held_until_s)
-        views = self._ended.setdefault(claim.owner_id, {})
-        if claim.held_since_s is not None:
-            earlier = views.get(claim.view)
-            ranges = claim.ranges | (earlier.ranges if earlier else frozenset())
-            views[claim.view] = _EndedView(claim, ranges, now_s)
-        until_s = max([self._acts_until_s(v, now_s) for v in views.values()] + [now_s])
-        if claim.view in views:
-            views[claim.view].reported_until_s = until_s
-        return until_s
+        ended = self._ended.get(claim.owner_id)
+        if claim.held_since_s is None and ended is None:
+            return now_s
+        ranges = claim.ranges if claim.held_since_s is not None else frozenset()
+        if ended is not None:
+            ranges |= ended.ranges
+        ended = _EndedClaim(claim, ranges, now_s)
+        ended.reported_until_s = self._acts_until_s(ended, now_s)
+        self._ended[claim.owner_id] = ended
+        return ended.reported_until_s
 
     def _grants_until_s(self, claim, recorded, now_s, held_until_s):
         known_s = self._grants_end_s.get(claim.owner_id, now_s)
@@ -67,21 +69,17 @@
             default=now_s,
         )
 
-    def shortened(self, current, now_s):
+    def shortened(self, owners, now_s):
         """Yield ``(claim, until_s)`` of claims that end sooner than was reported.
 
-        ``current`` are the node's present claims by owner. One with the same view as
-        an ended claim is left alone, since a witness can't tell their ends apart.
+        ``owners`` are those that the node claims from now. Their ended claims are left
+        alone, since a witness can't tell the ends of two claims apart.
         """
-        for owner_id, views in list(self._ended.items()):
-            present = current.get(owner_id)
-            for view, ended in list(views.items()):
-                if ended.reported_until_s <= now_s:
-                    del views[view]
-                elif present is None or present.view != view:
-                    until_s = self._acts_until_s(ended, now_s)
-                    if until_s < ended.reported_until_s - SHORTEN_BY_S:
-                        ended.reported_until_s = until_s
-                        yield ended.claim, until_s
-            if not views:
+        for owner_id, ended in list(self._ended.items()):
+            if ended.reported_until_s <= now_s:
                 del self._ended[owner_id]
+            elif owner_id not in owners:
+                until_s = self._acts_until_s(ended, now_s)
+                if until_s < ended.reported_until_s - SHORTEN_BY_S:
+                    ended.reported_until_s = until_s
+                    yield ended.claim, until_s
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -25,18 +25,9 @@
 NEVER_S = float("-inf")
 
 
-@attrs.define
-class _EarlierView:
-    until_s: float
-    round: int
-
-
 @attrs.define(kw_only=True)
 class _Taker:
-    """A standby that holds a share of a lapsed lease.
-
-    ``earlier`` has its claims on earlier views that may still act, by view.
-    """
+    """A standby that holds a share of a lapsed lease."""
 
     incarnation: int
     lease_epoch: int
@@ -44,41 +35,18 @@
     expires_s: float
     reach_until_s: float
     round: int
-    earlier: dict[tuple[int, int], _EarlierView] = attrs.Factory(dict)
 
     @property
     def view(self):
         return self.lease_epoch, self.portfolio_epoch
 
-    @property
-    def own_until_s(self):
-        return max(self.expires_s, self.reach_until_s)
-
     @property
     def acts_until_s(self):
-        return max([self.own_until_s, *(e.until_s for e in self.earlier.values())])
-
-    @property
-    def portfolio_epochs(self):
-        """Return the assignments of slices on which it may act."""
-        return {self.portfolio_epoch, *(portfolio for _, portfolio in self.earlier)}
+        return max(self.expires_s, self.reach_until_s)
 
     def active(self, now_s):
         return now_s < self.acts_until_s
 
-    def drop_ended_views(self, now_s):
-        self.earlier = {
-            view: earlier
-            for view, earlier in self.earlier.items()
-            if now_s < earlier.until_s
-        }
-
-    def earlier_than(self, view):
-        """Return the claims to keep beside a new one on another view."""
-        if view == self.view:
-            return self.earlier
-        return {**self.earlier, self.view: _EarlierView(self.own_until_s, self.round)}
-
 
 @attrs.define(kw_only=True)
 class _WatchedLease:
@@ -114,8 +82,6 @@
             t for t, taker in self.takers.items() if not taker.active(now_s)
         ]:
             del self.takers[taker_id]
-        for taker in self.takers.values():
-            taker.drop_ended_views(now_s)
 
 
 class Witness:
@@ -232,20 +198,15 @@
             return Denial.STALE
         if claim.portfolio_epoch < max(view.portfolio_epoch, watched.portfolio_epoch):
             return Denial.STALE
-        own_process = (claim.taker_id, claim.taker_incarnation)
-        for taker_id, taker in watched.takers.items():
-            # Two takers with different views of the assignment could both
-            # include the same slice in their shares.
-            # A server that checks fences may have restarted between two claims of its
-            # node, and its earlier life holds what it was granted under the first.
-            if not view.checks_fences and (taker_id, taker.incarnation) == own_process:
-                continue
-            if taker.portfolio_epochs != {claim.portfolio_epoch}:
+        for taker in watched.takers.values():
+            # Two takers with different views of the assignment could both include
+            # the same slice in their shares. One taker could complete a move of a
+            # slice that its claim on the earlier view still covers.
+            if taker.portfolio_epoch != claim.portfolio_epoch:
                 return Denial.OTHER_VIEW
         return Denial.NONE
 
     def _grant_share(self, watched, claim, now_s):
-        current = watched.takers.get(claim.taker_id)
         watched.lease_epoch = max(watched.lease_epoch, claim.lease_epoch)
         watched.portfolio_epoch = max(watched.portfolio_epoch, claim.portfolio_epoch)
         watched.takers[claim.taker_id] = _Taker(
@@ -255,7 +216,6 @@
             expires_s=self._terms.expires_s(now_s, claim.lease_s),
             reach_until_s=self._terms.expires_s(now_s, claim.reach_s),
             round=claim.round,
-            earlier=current.earlier_than(claim.view) if current else {},
         )
         return Grant(granted=True, term=watched.term)
 
@@ -268,15 +228,10 @@
         taker = watched.takers.get(claim.taker_id) if watched else None
         if taker is None or taker.incarnation != claim.taker_incarnation:
             return
-        until_s = self._terms.expires_s(now_s, claim.reach_s)
-        earlier = taker.earlier.get(claim.view)
-        if earlier is not None:
-            if claim.round > earlier.round:
-                taker.earlier[claim.view] = _EarlierView(until_s, claim.round)
-        elif claim.view == taker.view and claim.round > taker.round:
+        if claim.round > taker.round:
             taker.round = claim.round
             taker.expires_s = now_s
-            taker.reach_until_s = until_s
+            taker.reach_until_s = self._terms.expires_s(now_s, claim.reach_s)
 
     def lapsed_owners(self, owner_ids, now_s):
         """Return those of the given owners whose standbys are to be notified now.
