Give an owner time to renew with a new witness before it counts as lapsed

Cause: a witness looks for lapsed leases as soon as a record names it, and an owner that hasn't renewed with it yet counted as lapsed. The look 20 times a second had come later than the first renewal by chance.

Change: an owner that is newly watched is due after the interval between notices.

Two tests of the pure witness, which has no such method before.

--- a/comfreywharf/daemon/ownership/witnessing.py
+++ b/comfreywharf/daemon/ownership/witnessing.py
@@ -93,7 +93,9 @@
                 for member in members.values()
                 if any(own_id in group for group in member.witness_groups)
             ]
-            self._witness.drop_owners_except(members, boottime_s())
+            now_s = boottime_s()
+            self._witness.drop_owners_except(members, now_s)
+            self._witness.watch(self._watched_ids, now_s)
         return self._watched_ids
 
     def renew(self, request):
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -39,8 +39,8 @@
 SCAN_INTERVAL_S = 0.25
 
 DENIED_PAUSE_S = 0.25
-"""How long no claim is begun on the view of an owner for which one was denied. A witness
-that has just restarted denies a view that is the newest."""
+"""How long no claim is begun on the view of an owner for which one was denied, in
+seconds. A witness that has just restarted also denies the newest view."""
 
 _OUTDATED_DENIALS = frozenset({Denial.STALE, Denial.OTHER_VIEW})
 
--- a/comfreywharf/ownership/tests/test_due_notices.py
+++ b/comfreywharf/ownership/tests/test_due_notices.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from comfreywharf.ownership import LeaseTerms, OwnerView, Renewal, Witness
+from comfreywharf.ownership.witness import NOTICE_INTERVAL_S
 
 TERMS = LeaseTerms(lease_s=1.0, drift=0.0)
 OWNERS = ("a", "b", "c")
@@ -28,6 +29,23 @@
     assert Witness(TERMS, 0.0, 1).next_notice_s(()) == math.inf
 
 
+def test_an_owner_that_chose_a_new_witness_is_given_time_to_renew_there():
+    """Guards against claims on owners that live, which their new witness then denies."""
+    witness = Witness(TERMS, 0.0, 1)
+    witness.watch(("a",), 5.0)
+    assert witness.lapsed_owners(("a",), 5.0) == []
+    assert witness.next_notice_s(("a",)) == 5.0 + NOTICE_INTERVAL_S
+    assert renew(witness, "a", 1, 5.1)
+    assert witness.next_notice_s(("a",)) == 6.1
+
+
+def test_a_lost_owner_is_noticed_though_it_never_renewed_with_a_new_witness():
+    """Guards against an owner that is lost while its witnesses are replaced."""
+    witness = Witness(TERMS, 0.0, 1)
+    witness.watch(("a",), 5.0)
+    assert witness.lapsed_owners(("a",), 5.0 + NOTICE_INTERVAL_S) == ["a"]
+
+
 def test_owners_that_renew_cost_one_look_a_lease():
     """Guards against witnesses that walk through all members many times a second."""
     witness, looks = Witness(TERMS, 0.0, 1), 0
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -233,6 +233,16 @@
             taker.expires_s = now_s
             taker.reach_until_s = self._terms.expires_s(now_s, claim.reach_s)
 
+    def watch(self, owner_ids, now_s):
+        """Watch these owners' leases.
+
+        A new owner may have named this witness in a record before it renews here, so
+        that its first notice isn't due at once.
+        """
+        for owner_id in owner_ids:
+            if owner_id not in self._watched:
+                self._lookup(owner_id).notified_s = now_s
+
     def lapsed_owners(self, owner_ids, now_s):
         """Return those of the given owners whose standbys are to be notified now.
 
