Keep the pauses between claims in a class of their own

Cause: the agent held two dicts and their rules among its decisions, and was the longest module of the package.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -15,6 +15,7 @@
     SendUnclaim,
     report,
 )
+from comfreywharf.ownership.claim_pauses import ClaimPauses
 from comfreywharf.ownership.claims import HeldClaim, ranges_of, share_of
 from comfreywharf.ownership.ended_claims import EndedClaims
 from comfreywharf.ownership.handover import decide_release
@@ -35,13 +36,8 @@
 __all__ = ["OwnershipAgent", "longest_lease_s"]
 
 APPEND_RETRY_S = 0.2
-CLAIM_PAUSE_LEASES = 1.0
 SCAN_INTERVAL_S = 0.25
 
-DENIED_PAUSE_S = 0.25
-"""How long no claim is begun on the view of an owner for which one was denied, in
-seconds. A witness that has just restarted also denies the newest view."""
-
 _OUTDATED_DENIALS = frozenset({Denial.STALE, Denial.OTHER_VIEW})
 
 _MOVING = (SlicesMoved, SlicesTaken, MoveCompleted)
@@ -84,8 +80,7 @@
         self._watch = SliceWatch(self.table)
         self._scan_s = float("-inf")
         self._claim_number = 0
-        self._claim_not_before_s = {}
-        self._denied_views = {}
+        self._claim_pauses = ClaimPauses(terms)
         self._ended_claims = EndedClaims(self.inflight, fenced)
         self._groups = WitnessGroups(node_id, incarnation, terms, self.holder, make_id)
 
@@ -264,9 +259,7 @@
             return []
         if owner_id == self._node_id or not self.holder.owns(now_s):
             return []
-        if now_s < self._claim_not_before_s.get(owner_id, now_s):
-            return []
-        if self._was_denied(owner, now_s):
+        if not self._claim_pauses.may_begin(owner, now_s):
             return []
         share = share_of(state, self._node_id, owner_id)
         if not share:
@@ -284,18 +277,6 @@
         self.claims[owner_id] = claim
         return self._send_claim(claim, now_s)
 
-    def _was_denied(self, owner, now_s):
-        """Return whether a claim on the same view of an owner was denied recently.
-
-        It would be denied again until this node folds the record that it lacks, or
-        until another taker's claim ends.
-        """
-        denied = self._denied_views.get(owner.node_id)
-        if denied is None:
-            return False
-        view, until_s = denied
-        return now_s < until_s and view == (owner.lease_epoch, owner.portfolio_epoch)
-
     def claim_granted(self, owner_id, witness, number, term, now_s):
         """Register a witness's grant of a claim; return the actions to take."""
         claim = self.claims.get(owner_id)
@@ -319,12 +300,7 @@
             or claim.held_since_s is not None
         ):
             return []
-        self._denied_views = {
-            known_id: (view, until_s)
-            for known_id, (view, until_s) in self._denied_views.items()
-            if now_s < until_s
-        }
-        self._denied_views[owner_id] = (claim.view, now_s + DENIED_PAUSE_S)
+        self._claim_pauses.denied(owner_id, claim.view, now_s)
         return self._end_claim(claim, now_s)
 
     def _send_claim(self, claim, now_s):
@@ -334,12 +310,8 @@
 
     def _tick_claim(self, state, claim, now_s, forced):
         if claim.tick(now_s):
-            # If an owner and its standby are each granted by some witnesses,
-            # neither gets a majority and each blocks the other. The standby
-            # pauses for long enough that a live owner can renew its lease.
             if claim.lease.witness_terms(now_s):
-                pause_s = CLAIM_PAUSE_LEASES * self._terms.lease_s
-                self._claim_not_before_s[claim.owner_id] = now_s + pause_s
+                self._claim_pauses.contested(claim.owner_id, now_s)
             return self._end_claim(claim, now_s)
         actions = []
         if forced or claim.round_due(now_s):
--- a/comfreywharf/ownership/work_times.py
+++ b/comfreywharf/ownership/work_times.py
@@ -16,8 +16,7 @@
 """The number of requests from which on the estimates are used."""
 
 DEVIATIONS = 4
-"""Distance of the long from the mean work time, in mean deviations. Of work times with
-a long tail, one in fifty is longer."""
+"""Distance of a long work time from the mean, in mean deviations."""
 
 STEP_S = 0.25
 """Lengths are multiples of this, so that they don't follow each request."""
