--- a/comfreywharf/daemon/tests/operator_builders.py
+++ b/comfreywharf/daemon/tests/operator_builders.py
@@ -11,13 +11,13 @@
 from comfreywharf.records import (
     ClusterState,
     ConfigPatched,
-    NodeAnnounced,
     PlannerTermStarted,
     ServiceConfig,
     SliceMove,
     SlicesMoved,
     fold,
 )
+from comfreywharf.records.tests.builders import make_announcement
 
 __all__ = ["FakeFollower", "FakeQuarantine", "make_port", "patch_order", "send_request"]
 
@@ -69,20 +69,7 @@
     )
     port = OperatorPort(node)
     for number in (1, 2):
-        follower.append(
-            NodeAnnounced(
-                record_id=f"announced-{number}",
-                node_id=f"booking-{number}",
-                incarnation=1,
-                host="127.0.0.1",
-                caller_port=1,
-                peer_port=2,
-                operator_port=3,
-                failure_domain="teika",
-                region="riga",
-                service="booking",
-            )
-        )
+        follower.append(make_announcement(f"booking-{number}", service="booking"))
     services = {"booking": ServiceConfig(name="booking", slices=2)}
     follower.append(
         ConfigPatched(
--- a/comfreywharf/daemon/tests/test_witnessing.py
+++ b/comfreywharf/daemon/tests/test_witnessing.py
@@ -4,7 +4,8 @@
 
 from comfreywharf.daemon.ownership.witnessing import MAX_WAIT_S, Witnessing
 from comfreywharf.ownership import LeaseTerms
-from comfreywharf.records import ClusterState, LeaseStarted, NodeAnnounced, fold
+from comfreywharf.records import ClusterState, LeaseStarted, fold
+from comfreywharf.records.tests.builders import make_announcement
 
 TERMS = LeaseTerms(lease_s=1.0, drift=0.0)
 STARTED_S = 0.0
@@ -28,18 +29,7 @@
 
 def announce(follower, *node_ids):
     for node_id in node_ids:
-        record = NodeAnnounced(
-            record_id=f"announce-{node_id}",
-            node_id=node_id,
-            incarnation=1,
-            host="127.0.0.1",
-            caller_port=1,
-            peer_port=2,
-            operator_port=3,
-            failure_domain="teika",
-            region="riga",
-        )
-        follower.fold(record)
+        follower.fold(make_announcement(node_id))
 
 
 def test_an_owner_whose_witness_the_node_becomes_is_watched():
--- a/comfreywharf/ownership/tests/test_due_notices.py
+++ b/comfreywharf/ownership/tests/test_due_notices.py
@@ -30,7 +30,7 @@
 
 
 def test_an_owner_that_chose_a_new_witness_is_given_time_to_renew_there():
-    """Guards against claims on owners that live, which their new witness then denies."""
+    """Guards against claims on live owners that their new witness then denies."""
     witness = Witness(TERMS, 0.0, 1)
     witness.watch(("a",), 5.0)
     assert witness.lapsed_owners(("a",), 5.0) == []
--- a/comfreywharf/records/tests/builders.py
+++ b/comfreywharf/records/tests/builders.py
@@ -25,7 +25,14 @@
     UnknownRecord,
 )
 
-__all__ = ["NODES", "initial_records", "make_member", "make_record", "make_service"]
+__all__ = [
+    "NODES",
+    "initial_records",
+    "make_announcement",
+    "make_member",
+    "make_record",
+    "make_service",
+]
 
 NODES = ("a", "b", "c")
 SERVICES = ("booking", "files")
@@ -51,6 +58,22 @@
     return Member(node_id=node_id, **values)
 
 
+def make_announcement(node_id, **fields):
+    """Return the record by which a node becomes a member, or begins anew."""
+    values = {
+        "record_id": f"announce-{node_id}",
+        "incarnation": 1,
+        "host": "127.0.0.1",
+        "caller_port": 1,
+        "peer_port": 2,
+        "operator_port": 3,
+        "failure_domain": "teika",
+        "region": "riga",
+        **fields,
+    }
+    return NodeAnnounced(node_id=node_id, **values)
+
+
 def make_record(rng, state, record_id):
     """Return a random record that is based on a state or sometimes on a stale one."""
     builder = rng.choice(_BUILDERS)
@@ -119,17 +142,8 @@
 
 
 def _announce(rng, state, record_id):
-    return NodeAnnounced(
-        record_id=record_id,
-        node_id=_node(rng),
-        incarnation=rng.randint(1, 3),
-        host="127.0.0.1",
-        caller_port=1,
-        peer_port=2,
-        operator_port=3,
-        failure_domain="teika",
-        region="riga",
-    )
+    incarnation = rng.randint(1, 3)
+    return make_announcement(_node(rng), record_id=record_id, incarnation=incarnation)
 
 
 def _lease(rng, state, record_id):
