Send no request to its server after its deadline

Cause: the deadline was checked before the wait for a slot and by timers. A node that is stopped after the admission sent the request when it resumed: an open connection is taken without a switch of greenlets, so that the timer of the deadline had no turn.

Change: the deadline is compared once more when there is a connection, and the request is refused as not run.

Measured: the test fails before, with a deadline that passed 0 s and 1 s ago, and the scripted server had the request; it passes now.

--- a/comfreywharf/daemon/servers/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -109,12 +109,10 @@
             raise BackendError(Reason.DEADLINE_BEFORE_START, message) from error
         except (OSError, RuntimeError) as error:
             raise BackendError(Reason.NO_BACKEND, str(error)) from error
-        if running.cancelled:
+        reason = _reason_not_to_send(running, boottime_s())
+        if reason is not None:
             self._client.give_back(sock)
-            raise BackendError(
-                Reason.CALLER_GONE_BEFORE_START,
-                "the caller disconnected before its request was sent",
-            )
+            raise BackendError(reason, "the request was not sent: nobody waits for it")
         return sock
 
     def _send(self, sock, request, header_lines, body, running):
@@ -230,6 +228,15 @@
         self._control_client.close()
 
 
+def _reason_not_to_send(running, now_s):
+    """Return why a request is not sent, though there is a connection, or ``None``."""
+    if running.cancelled:
+        return Reason.CALLER_GONE_BEFORE_START
+    if now_s >= running.deadline_s:
+        return Reason.DEADLINE_BEFORE_START
+    return None
+
+
 def _release(response):
     if response is not None:
         response.keeps_connection = False
