Run no request whose caller left before it was read

Cause: callers that left are found by a look ten times a second, and only among calls that have lasted that long. A node that was stopped or busy reads the requests of callers that have given up, and sends them on at once.

Change: the connection is looked at once before a request is dispatched, one poll that doesn't wait; the request is refused as not run. As before, a caller that closes its sending side counts as gone.

--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -15,7 +15,11 @@
     CallerBody,
 )
 from comfreywharf.daemon.requests.caller_requests import parse_request
-from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
+from comfreywharf.daemon.requests.caller_watch import (
+    Call,
+    CallerWatch,
+    has_disconnected,
+)
 from comfreywharf.daemon.requests.dispatch import AnswerTruncated
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.routing import Outcome, Reason
@@ -99,6 +103,9 @@
         self.watch.enter(call)
         try:
             refused = self._read_body(source, call)
+            # A node that was stopped reads requests whose callers have given up.
+            if refused is None and has_disconnected(sock):
+                refused, call.gone = Reason.CALLER_GONE_BEFORE_START, True
             if refused is not None:
                 reply, body_stream = refusal(refused), None
             else:
--- a/comfreywharf/platform/tests/test_stale_requests.py
+++ b/comfreywharf/platform/tests/test_stale_requests.py
@@ -1,4 +1,7 @@
-"""Requests that a node sends on after it could not run for a while."""
+"""Requests that a node reads, or sends on, after it could not run for a while."""
+
+import contextlib
+import socket as std_socket
 
 import gevent
 import pytest
@@ -14,10 +17,34 @@
 )
 from comfreywharf.routing import Reason
 
+KEY = 7
 SETTLE_S = 0.3
 """Longer than a request without a fault takes from its arrival to its server."""
 
 
+def leave_request(port, request_id):
+    """Send a request and close its connection before any greenlet runs."""
+    with contextlib.closing(std_socket.create_connection(("127.0.0.1", port))) as sock:
+        lines = (
+            "GET /look/1 HTTP/1.1",
+            "Host: a.example",
+            f"X-Attempt-Id: {request_id}",
+            f"X-Shard-Key: {KEY}",
+            "X-Deadline-Ms: 1000",
+        )
+        sock.sendall("\r\n".join([*lines, "", ""]).encode())
+
+
+def test_a_request_that_is_read_after_its_caller_left_is_not_run(deployment):
+    """Guards against work for callers that gave up while their node was stopped."""
+    deployment.ledger.clear()
+    for number, name in enumerate(deployment.nodes):
+        leave_request(deployment.ports[name][1], f"left-{number}")
+    gevent.sleep(SETTLE_S)
+    assert not deployment.ledger
+    assert deployment.send_request("n0", key=KEY).status == 200
+
+
 @pytest.mark.parametrize("late_s", [0.0, 1.0])
 def test_a_request_is_not_sent_to_its_server_after_its_deadline(late_s):
     """Guards against a node that stops between the admission and the send."""
