Show which nodes of a fleet stand out, and in what

Cause: an engineer with 195 metric pages has no way to see which node is on old routes, late, refusing or without its log, but to read them one by one.

Change: comfreywharf outliers asks all nodes or reads saved pages, compares ten measures with the fleet's median and spread, and shows the nodes that stand out, as a table and as JSON. A page that is missing or can't be read is named, and the exit code says so.

--- a/comfreywharf/cli/client.py
+++ b/comfreywharf/cli/client.py
@@ -52,6 +52,11 @@
         uri = f"{path}?{urlencode(query)}" if query else path
         return self._parse(self._call_checked("GET", uri, b"", (200,)), cls)
 
+    def get_text(self, path):
+        """Return the answer to a GET request as text."""
+        data = self._call_checked("GET", path, b"", (200,))
+        return data.decode("utf-8", "replace")
+
     def get_json(self, path, **query):
         """Return the answer to a GET request as plain JSON values."""
         return self.get(path, Any, **query)
--- a/comfreywharf/cli/main.py
+++ b/comfreywharf/cli/main.py
@@ -12,6 +12,7 @@
     explain,
     keys,
     nodes,
+    outliers,
     quarantine,
     timeline,
 )
@@ -34,7 +35,10 @@
 )
 app.register_install_completion_command(add_to_startup=False)
 
-for _module in (nodes, keys, config, quarantine, events, timeline, explain, doctor):
+for _module in (
+    *(nodes, keys, config, quarantine),
+    *(events, timeline, explain, outliers, doctor),
+):
     _module.register(app)
 
 
