Start a node's servers without a look-up of their names

Cause: gevent's WSGI server looks its own address up when it starts, to fill in SERVER_NAME, which nothing reads.

Change: NodelayServer names itself.

--- a/comfreywharf/daemon/connections/http.py
+++ b/comfreywharf/daemon/connections/http.py
@@ -1,10 +1,10 @@
-"""Adaptations of the HTTP libraries: pool, WSGI handler, response and client."""
+"""Adaptations of the HTTP client library: pool, response and client."""
 
 import socket as std_socket
 import struct
 import sys
 
-from gevent import pywsgi, socket
+from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
@@ -12,7 +12,6 @@
 
 __all__ = [
     "BackendResponse",
-    "NodelayHandler",
     "NodelayPool",
     "SingleSendClient",
     "reset_on_close",
@@ -80,29 +79,6 @@
         return is_open_and_idle(sock)
 
 
-class NodelayHandler(pywsgi.WSGIHandler):
-    """A WSGI handler without Nagle delay that passes the socket to the application."""
-
-    def __init__(self, sock, address, server, rfile=None):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().__init__(sock, address, server, rfile)
-
-    def log_request(self):
-        """Do nothing; the library formats an access log line even without a log."""
-
-    def get_environ(self):
-        """Return the WSGI environment, with the caller's socket in it.
-
-        ``PATH_INFO`` is percent-decoded, and an encoded space or line end in it would
-        break the request to the backend server. The request target is therefore
-        passed as the caller sent it.
-        """
-        environ = super().get_environ()
-        environ["comfreywharf.socket"] = self.socket
-        environ["comfreywharf.target"] = self.path
-        return environ
-
-
 def reset_on_close(sock):
     """Have a connection reset on close, so that a truncated answer isn't accepted.
 
--- a/comfreywharf/daemon/operating/jsonport.py
+++ b/comfreywharf/daemon/operating/jsonport.py
@@ -9,10 +9,9 @@
 from absl import logging
 from cattrs.preconf.orjson import make_converter
 from cattrs.v import format_exception
-from gevent import pywsgi
 from gevent.pool import Pool
 
-from comfreywharf.daemon.connections.http import NodelayHandler
+from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.operating.documents import ErrorDocument
 from comfreywharf.records.codec import converter
 from comfreywharf.settings import suggest
@@ -161,13 +160,7 @@
 
     def make_server(self, host, port):
         """Return the server; it isn't started yet."""
-        return pywsgi.WSGIServer(
-            (host, port),
-            self,
-            log=None,
-            handler_class=NodelayHandler,
-            spawn=Pool(MAX_CONNECTIONS),
-        )
+        return NodelayServer(host, port, self, spawn=Pool(MAX_CONNECTIONS))
 
     def __call__(self, environ, start_response):
         """Answer one request."""
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -4,11 +4,11 @@
 
 import attrs
 from absl import logging
-from gevent import pywsgi
 from returns.result import Failure
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.connections.http import NodelayHandler, reset_on_close
+from comfreywharf.daemon.connections.http import reset_on_close
+from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.requests.bodies import (
     WHOLE_BODY_BYTES,
     BodyError,
@@ -64,9 +64,7 @@
 
     def make_server(self, host, port):
         """Return the server, not yet started."""
-        return pywsgi.WSGIServer(
-            (host, port), self, log=None, handler_class=NodelayHandler, backlog=1024
-        )
+        return NodelayServer(host, port, self, backlog=1024)
 
     def __call__(self, environ, start_response):
         """Answer one request."""
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -3,10 +3,9 @@
 import re
 
 import orjson
-from gevent import pywsgi
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.connections.http import NodelayHandler
+from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.ownership.hold_lists import HoldReport, ListCapacity
 from comfreywharf.platform.announcements import (
     DamagedReport,
@@ -38,12 +37,7 @@
         self._node = node
         self._lifecycle = lifecycle
         self._service = service
-        self._server = pywsgi.WSGIServer(
-            (address.host, address.port),
-            self._answer,
-            log=None,
-            handler_class=NodelayHandler,
-        )
+        self._server = NodelayServer(address.host, address.port, self._answer)
 
     def start(self):
         """Listen; raises `OSError` if the address is taken."""
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -2,10 +2,10 @@
 
 import attrs
 import gevent
-from gevent import pywsgi
 from geventhttpclient.response import HTTPParseError
 
-from comfreywharf.daemon.connections.http import NodelayHandler, SingleSendClient
+from comfreywharf.daemon.connections.http import SingleSendClient
+from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.operating.decisions import StdoutLineWriter
 from comfreywharf.daemon.operating.operators import OperatorPort
 from comfreywharf.daemon.ownership.grants_by_service import GrantsByService
@@ -241,6 +241,4 @@
         start_response(status, [("Content-Length", str(len(body)))])
         return [body]
 
-    return pywsgi.WSGIServer(
-        (address.host, address.port), answer, log=None, handler_class=NodelayHandler
-    )
+    return NodelayServer(address.host, address.port, answer)
