Wake the periodic tasks of a node together

Cause: five tasks of a node look ten times a second, two four times and one twice for what is rarely due, each by a timer of its own, so that the loop is woken for each.

Change: sleep_to_tick lets timers of one interval end at the same time; each process has a phase of its own. Intervals are as before. The leases' loop sleeps to the same ticks.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -39,6 +39,7 @@
 from comfreywharf.ownership.holds import NOTHING_HELD_S
 from comfreywharf.records import NodeAnnounced
 from comfreywharf.routing import MemoryLimits
+from comfreywharf.ticks import sleep_to_tick
 from comfreywharf.transport import PeerServer
 
 __all__ = ["Node"]
@@ -162,7 +163,7 @@
         pauses = PauseDetector(boottime_s(), LIFECYCLE_CHECK_S)
         reported_too_few = False
         while True:
-            gevent.sleep(LIFECYCLE_CHECK_S)
+            sleep_to_tick(LIFECYCLE_CHECK_S)
             paused_s = pauses.record_run(boottime_s())
             if paused_s is not None:
                 self.report("node_was_paused", paused_s=round(paused_s, 3))
@@ -272,7 +273,7 @@
     def _watch_backend(self):
         """Detect a lost backend server, and give up its keys."""
         while True:
-            gevent.sleep(BACKEND_CHECK_S)
+            sleep_to_tick(BACKEND_CHECK_S)
             silent_s = boottime_s() - self._last_heartbeat_s
             if self.backend is None:
                 self._record_refused_as_ended(silent_s)
--- a/comfreywharf/daemon/ownership/key_grants.py
+++ b/comfreywharf/daemon/ownership/key_grants.py
@@ -6,6 +6,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.records import numbers_in
+from comfreywharf.ticks import sleep_to_tick
 
 __all__ = ["BookedGrants", "KeyGrants"]
 
@@ -19,7 +20,7 @@
     def run(self):
         """Send or prepare due grants until the greenlet is killed."""
         while True:
-            gevent.sleep(REFRESH_INTERVAL_S)
+            sleep_to_tick(REFRESH_INTERVAL_S)
             self.refresh()
 
     @abstractmethod
--- a/comfreywharf/daemon/ownership/leases.py
+++ b/comfreywharf/daemon/ownership/leases.py
@@ -24,6 +24,7 @@
     longest_lease_s,
 )
 from comfreywharf.routing import Reason
+from comfreywharf.ticks import PHASE_S, seconds_to_tick
 from comfreywharf.transport import CallError
 from comfreywharf.transport.gen.ttypes import ReleaseRequest
 
@@ -239,7 +240,8 @@
         """
         if self.holder.phase != "held" or self.agent.claims:
             return TICK_S
-        return min(max(self.holder.next_round_s - now_s, TICK_S), LONG_TICK_S)
+        round_s = max(self.holder.next_round_s - now_s, TICK_S)
+        return min(round_s, seconds_to_tick(now_s, LONG_TICK_S, PHASE_S))
 
     def _may_hold_lease(self):
         return self._node.follower.usable and self._node.backend is not None
--- a/comfreywharf/daemon/ownership/service_declarer.py
+++ b/comfreywharf/daemon/ownership/service_declarer.py
@@ -1,11 +1,11 @@
 """Add the services named by the routes to the log's configuration."""
 
 import attrs
-import gevent
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.records.follower import NotAcknowledged, new_record_id
 from comfreywharf.records import ConfigPatched
+from comfreywharf.ticks import sleep_to_tick
 
 __all__ = ["ServiceDeclarer"]
 
@@ -30,7 +30,7 @@
     def run(self):
         """Declare missing or changed services until the greenlet is killed."""
         while True:
-            gevent.sleep(CHECK_INTERVAL_S)
+            sleep_to_tick(CHECK_INTERVAL_S)
             if not self._node.planner.is_planning:
                 self._planning_since_s = None
                 continue
--- a/comfreywharf/daemon/records/snapshots.py
+++ b/comfreywharf/daemon/records/snapshots.py
@@ -16,6 +16,7 @@
     make_parts,
 )
 from comfreywharf.records.state import ClusterState
+from comfreywharf.ticks import sleep_to_tick
 
 __all__ = [
     "SnapshotWriter",
@@ -120,7 +121,7 @@
     def run(self):
         """Write due snapshots until the greenlet is killed."""
         while True:
-            gevent.sleep(CHECK_INTERVAL_S)
+            sleep_to_tick(CHECK_INTERVAL_S)
             if not self._is_turn():
                 continue
             try:
@@ -148,7 +149,7 @@
     def run_for_planner(self, planner):
         """Write each changed state while this node is the planner."""
         while True:
-            gevent.sleep(CHECK_INTERVAL_S)
+            sleep_to_tick(CHECK_INTERVAL_S)
             if not planner.is_planning or not self._has_state_to_write():
                 continue
             try:
--- a/comfreywharf/daemon/requests/caller_watch.py
+++ b/comfreywharf/daemon/requests/caller_watch.py
@@ -7,12 +7,12 @@
 import select
 
 import attrs
-import gevent
 from gevent import socket
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.requests.bodies import CallerBody
 from comfreywharf.records import ServiceConfig
+from comfreywharf.ticks import sleep_to_tick
 from comfreywharf.transport.gen.ttypes import ForwardRequest
 
 __all__ = ["Call", "CallerWatch", "has_disconnected"]
@@ -67,7 +67,7 @@
     def run(self):
         """Poll the callers until the greenlet is killed."""
         while True:
-            gevent.sleep(WATCH_INTERVAL_S)
+            sleep_to_tick(WATCH_INTERVAL_S)
             self._poll_callers(boottime_s())
 
     def _poll_callers(self, now_s):
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -19,6 +19,7 @@
     RoutedService,
     RouteTable,
 )
+from comfreywharf.ticks import sleep_to_tick
 
 __all__ = ["ConfigurationReader", "route_table"]
 
@@ -116,7 +117,7 @@
         """Read new configurations until the greenlet is killed."""
         while True:
             if self._relayed():
-                gevent.sleep(RELAY_CHECK_INTERVAL_S)
+                sleep_to_tick(RELAY_CHECK_INTERVAL_S)
                 continue
             try:
                 if self._next is None:
