Load the planner's decisions and the metrics' library only where they are used

Change: PlanningTerm, which decides and appends while a term of this node's lasts, is a module of its own that is imported when the first term begins; rendering is imported by the first scrape.

--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -4,9 +4,10 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.operating.decisions import NEVER_AGE_S
-from comfreywharf.metrics import Gauges, render
+from comfreywharf.metrics import Gauges
 from comfreywharf.records import key_hash
 from comfreywharf.routing import Outcome, Reason
+from comfreywharf.ticks import PHASE_S, seconds_to_tick
 
 __all__ = ["Meter"]
 
@@ -70,16 +71,20 @@
         """
         sampled_s = boottime_s()
         while True:
-            gevent.sleep(SAMPLE_S)
+            due_s = sampled_s + seconds_to_tick(sampled_s, SAMPLE_S, PHASE_S)
+            gevent.sleep(due_s - sampled_s)
             now_s = boottime_s()
             if not self._node.leases.holder.owns(now_s):
                 for service, count in self._node.ownership.owned.items():
                     self._metrics.slices_unavailable(service, count, now_s - sampled_s)
-            self._metrics.loop_woke(now_s - sampled_s - SAMPLE_S)
+            self._metrics.loop_woke(now_s - due_s)
             sampled_s = now_s
 
     def scrape(self, accept):
         """Return ``(body, headers)`` for Prometheus."""
+        # The library that renders is needed by few processes, and not at their start.
+        from comfreywharf.metrics.render import render
+
         return render(self._metrics, self._gauges(boottime_s()), accept)
 
     def _gauges(self, now_s):
--- a/comfreywharf/daemon/tests/test_planner_rounds.py
+++ b/comfreywharf/daemon/tests/test_planner_rounds.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from comfreywharf.daemon.ownership.planner import Planner
+from comfreywharf.daemon.ownership.planning_term import PlanningTerm
 from comfreywharf.placement.tests.builders import PlannedCluster
 from comfreywharf.records import fold
 
@@ -22,17 +22,14 @@
         return fold(self.state, self.state.next_offset, record)
 
 
-def make_planner(cluster):
-    """Return a planner that plans for a cluster."""
+def make_term(cluster):
+    """Return a term in which a node plans for a cluster."""
     node = SimpleNamespace(
         settings=SimpleNamespace(node_id="planner"),
         follower=FoldedLog(cluster.state),
         ports=SimpleNamespace(removes_lost_nodes=False),
     )
-    planner = Planner(node)
-    planner._planning = cluster.planning
-    planner._planned_term = 1
-    return planner
+    return PlanningTerm(node, 1, cluster.planning)
 
 
 def slices_added(cluster, per_slice_s, first_s):
@@ -43,7 +40,7 @@
     cluster.now_s += 1.0
     cluster.report(rates)
     before = len(cluster.slices)
-    make_planner(cluster)._run_round(cluster.now_s)
+    make_term(cluster).run_due_round(cluster.now_s)
     return len(cluster.slices) - before
 
 
--- a/comfreywharf/fleet/tests/builders.py
+++ b/comfreywharf/fleet/tests/builders.py
@@ -1,6 +1,7 @@
 """Metric pages as nodes render them, for tests without nodes."""
 
-from comfreywharf.metrics import Gauges, Metrics, render
+from comfreywharf.metrics import Gauges, Metrics
+from comfreywharf.metrics.render import render
 
 __all__ = ["page_text"]
 
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -3,7 +3,8 @@
 import re
 from pathlib import Path
 
-from comfreywharf.metrics import FAMILIES, Gauges, Kind, Metrics, Outages, render
+from comfreywharf.metrics import FAMILIES, Gauges, Kind, Metrics, Outages
+from comfreywharf.metrics.render import render
 
 PAGES = Path(__file__).parents[3] / "docs" / "operations" / "metrics"
 
--- a/comfreywharf/placement/tests/builders.py
+++ b/comfreywharf/placement/tests/builders.py
@@ -1,13 +1,10 @@
 """A small simulated cluster with a planner, without processes or clocks."""
 
-from comfreywharf.placement import (
+from comfreywharf.placement import NodeReport, PlacementTuning, SliceRate, planning
+from comfreywharf.placement.planning import (
     LoadReported,
-    NodeReport,
-    PlacementTuning,
     PlanningState,
     RoundDue,
-    SliceRate,
-    planning,
     to_record,
 )
 from comfreywharf.records import (
--- a/comfreywharf/placement/tests/test_planning.py
+++ b/comfreywharf/placement/tests/test_planning.py
@@ -9,8 +9,10 @@
     rule,
 )
 
-from comfreywharf.placement import Move, PlacementTuning, slice_limit
+from comfreywharf.placement import PlacementTuning
 from comfreywharf.placement.loads import report_timeout_s
+from comfreywharf.placement.planning import Move
+from comfreywharf.placement.resize import slice_limit
 from comfreywharf.placement.tests.builders import DOMAINS, SERVICE, PlannedCluster
 
 REPORT_TIMEOUT_S = report_timeout_s(8)
--- a/comfreywharf_dev/bench/capacity.py
+++ b/comfreywharf_dev/bench/capacity.py
@@ -14,7 +14,8 @@
 from cyclopts import App
 
 from comfreywharf.ownership import LeaseTerms
-from comfreywharf.placement import report_interval_s, round_interval_s
+from comfreywharf.placement import report_interval_s
+from comfreywharf.placement.planning import round_interval_s
 from comfreywharf.routing.memory import MemoryLimits
 from comfreywharf_dev.bench.control_cost import SLICES_PER_NODE
 from comfreywharf_dev.bench.numbers import show
--- a/comfreywharf_dev/bench/placement.py
+++ b/comfreywharf_dev/bench/placement.py
@@ -9,7 +9,8 @@
 import attrs
 import numpy as np
 
-from comfreywharf.placement import Switches, policy_for
+from comfreywharf.placement.planning import Switches
+from comfreywharf.placement.rebalance import policy_for
 from comfreywharf_dev.bench.figures import Figure
 from comfreywharf_dev.bench.placement_baselines import (
     immediate_policy,
--- a/comfreywharf_dev/bench/placement_baselines.py
+++ b/comfreywharf_dev/bench/placement_baselines.py
@@ -5,8 +5,8 @@
 import numpy as np
 import xxhash
 
-from comfreywharf.placement import BoundedRebalance
 from comfreywharf.placement.budget import ChurnBudget
+from comfreywharf.placement.rebalance import BoundedRebalance
 from comfreywharf_dev.bench.placement_replay import COLD_S, TAKEOVER_S, Tally
 
 __all__ = ["immediate_policy", "replay_hash_ring"]
--- a/comfreywharf_dev/bench/placement_cost.py
+++ b/comfreywharf_dev/bench/placement_cost.py
@@ -13,15 +13,17 @@
 
 from comfreywharf.daemon.ownership.load_reports import load_report, node_report
 from comfreywharf.placement import (
-    LoadReported,
     NodeReport,
-    PlanningState,
-    RoundDue,
     SliceMeter,
     SliceRate,
     planning,
     rates_per_report,
     report_interval_s,
+)
+from comfreywharf.placement.planning import (
+    LoadReported,
+    PlanningState,
+    RoundDue,
     round_interval_s,
     to_record,
 )
--- a/comfreywharf_dev/bench/placement_replay.py
+++ b/comfreywharf_dev/bench/placement_replay.py
@@ -7,15 +7,17 @@
 
 from comfreywharf.placement import (
     HotKeyRate,
-    LoadReported,
     NodeReport,
-    PlanningState,
-    RoundDue,
     SliceMeter,
-    TakeoverFolded,
     planning,
     rates_per_report,
     report_interval_s,
+)
+from comfreywharf.placement.planning import (
+    LoadReported,
+    PlanningState,
+    RoundDue,
+    TakeoverFolded,
     to_record,
 )
 from comfreywharf.records import (
--- a/comfreywharf_dev/bench/state_size.py
+++ b/comfreywharf_dev/bench/state_size.py
@@ -13,14 +13,8 @@
 import psutil
 from gevent import socket
 
-from comfreywharf.placement import (
-    LoadReported,
-    NodeReport,
-    PlanningState,
-    RoundDue,
-    SliceRate,
-    planning,
-)
+from comfreywharf.placement import NodeReport, SliceRate, planning
+from comfreywharf.placement.planning import LoadReported, PlanningState, RoundDue
 from comfreywharf.records import (
     ClusterState,
     ConfigPatched,
--- a/comfreywharf_dev/bench/tests/test_placement.py
+++ b/comfreywharf_dev/bench/tests/test_placement.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from comfreywharf.placement import Switches
+from comfreywharf.placement.planning import Switches
 from comfreywharf_dev.bench.figures import read_bounds
 from comfreywharf_dev.bench.placement import compare, make_trace, no_moves_policy
 from comfreywharf_dev.bench.placement_replay import Replay
