--- a/comfreywharf/daemon/records/follower.py
+++ b/comfreywharf/daemon/records/follower.py
@@ -68,6 +68,7 @@
         self._gap_since_s = None
         self.confirmed_s = float("-inf")
         self._snapshot_checked = False
+        self._was_reachable = False
         self.relay = None
         self.relayed = False
 
@@ -310,9 +311,11 @@
 
     def _mark_reachable(self):
         if not self.reachable:
-            # In the meantime other nodes may have skipped lost records, see
-            # `_skip_lost_records`.
-            self._snapshot_checked = not self._client.keeps_newest
+            if self._was_reachable:
+                # In the meantime other nodes may have skipped lost records, see
+                # `_skip_lost_records`. A node that starts has no records to lose.
+                self._snapshot_checked = not self._client.keeps_newest
+            self._was_reachable = True
             self._report("log_reachable", next_offset=self.state.next_offset)
         self.reachable = True
 
