Let nodes that aren't members yet receive records from members

Cause: only members used relays, so that each node of a starting fleet read the log until its own announcement was folded, and each announcement woke all of these reads.

Change: from four members on, a node that isn't one asks one of those whose rank is lower than its own will be, different nodes different ones. A relay's rank stays lower than its receiver's, so that no cycle forms (property test, with views of the members that differ).

One of three new tests fails without the change, the others guard its limits.

--- a/comfreywharf/membership/relays.py
+++ b/comfreywharf/membership/relays.py
@@ -6,8 +6,13 @@
 children. Three levels are enough for 640 nodes. The order needs no messages, since
 each node derives it from the members that it folded. If two nodes have folded
 different members, each still receives from a relay that reports the age of its data.
+
+A node that isn't a member yet receives from a member as well. When a whole fleet
+starts, each announcement would otherwise be read by all nodes that haven't announced
+themselves.
 """
 
+import bisect
 import functools
 
 import attrs
@@ -19,6 +24,10 @@
 """How many nodes receive from the same relay. At 640 nodes each relay sends the log's
 records to 16 others, and a record passes two relays."""
 
+FEWEST_RELAYS = 4
+"""The number of members from which on nodes that aren't members receive from them. Each
+member then has at most a fourth of the fleet to send to."""
+
 AVOIDANCE_S = 5.0
 """How long a relay that didn't answer, or had stale data, isn't queried again, in
 seconds. A restart takes about as long; an earlier query would cost its timeout."""
@@ -96,11 +105,23 @@
         """
         order = self._order(members)
         if self.node_id not in order:
-            return []
+            return self._relays_of_newcomer(order)
         rank = order.index(self.node_id)
         parent = (rank - 1) // FANOUT
         return [order[r] for r in (parent, parent + 1) if 0 <= r < rank]
 
+    def _relays_of_newcomer(self, order):
+        """Return the possible relays of this node before it is a member.
+
+        Nodes choose different ones of the members of a lower rank than theirs will be.
+        """
+        own_rank = _rank(self.node_id)
+        lower = bisect.bisect(order, own_rank, key=_rank)
+        if len(order) < FEWEST_RELAYS or not lower:
+            return []
+        first = own_rank[0] % lower
+        return [order[first], order[(first + 1) % lower]]
+
     @staticmethod
     def _order(members):
         return sorted(members, key=_rank)
--- a/comfreywharf/membership/tests/test_relays.py
+++ b/comfreywharf/membership/tests/test_relays.py
@@ -51,6 +51,37 @@
             name = relays[name]
 
 
+@given(NAMES, st.randoms(use_true_random=False))
+def test_no_cycle_forms_with_nodes_that_only_some_know_as_members(members, rng):
+    """Guards against a new node and a member that receive only from each other."""
+    relays = {}
+    for name in members:
+        known = [other for other in members if other == name or rng.random() < 0.7]
+        if rng.random() < 0.5:
+            known.remove(name)
+        relays[name] = relay_of(name, known)
+    for name in members:
+        seen = set()
+        while name:
+            assert name not in seen
+            seen.add(name)
+            name = relays[name]
+
+
+def test_nodes_that_arent_members_yet_receive_from_different_members():
+    """Guards against a fleet that starts and has each record read by each node."""
+    members = [f"node-{number}" for number in range(20)]
+    newcomers = [f"node-{number}" for number in range(20, 200)]
+    relays = [relay_of(name, members) for name in newcomers]
+    assert relays.count("") <= len(newcomers) / 10
+    assert max(relays.count(name) for name in members) <= len(newcomers) / 4
+
+
+def test_few_members_arent_asked_by_a_whole_fleet():
+    """Guards against one member that a starting fleet receives its records from."""
+    assert relay_of("node-9", ["node-1", "node-2", "node-3"]) == ""
+
+
 def test_a_member_relays_to_few_others():
     """At 640 nodes no member relays to more than `FANOUT` others."""
     members = [f"node-{number}" for number in range(640)]
