--- a/comfreywharf_dev/bench/control_cost.py
+++ b/comfreywharf_dev/bench/control_cost.py
@@ -46,6 +46,7 @@
     payload_bytes_per_s: float
     wire_bytes_per_s: float
     log_core: float
+    wakeups_per_s: float
 
 
 class GrowingCluster(AuditedCluster):
@@ -149,6 +150,7 @@
     }
     log_before_s = processor_s(cluster.log_process.pid)
     before_s = [processor_s(pid) for pid in pids]
+    wakeups_before = sum(map(_wakeups, pids))
     start_s = boottime_s()
     time.sleep(window_s)
     used_s = [
@@ -156,6 +158,7 @@
     ]
     elapsed_s = boottime_s() - start_s
     log_used_s = processor_s(cluster.log_process.pid) - log_before_s
+    wakeups = sum(map(_wakeups, pids)) - wakeups_before
     traffic = [
         _difference(traffic_before[node_id], _connection_traffic(cluster, node_id))
         for node_id in audited
@@ -168,9 +171,15 @@
         payload_bytes_per_s=statistics.fmean(p for p, _ in traffic) / elapsed_s,
         wire_bytes_per_s=statistics.fmean(w for _, w in traffic) / elapsed_s,
         log_core=log_used_s / elapsed_s,
+        wakeups_per_s=wakeups / len(pids) / elapsed_s,
     )
 
 
+def _wakeups(pid):
+    """Return how often a process has waited so far."""
+    return psutil.Process(pid).num_ctx_switches().voluntary
+
+
 def _rss_mib(pid):
     return psutil.Process(pid).memory_info().rss / MEBIBYTE
 
@@ -208,6 +217,7 @@
     "payload_bytes_per_s": "bytes/s",
     "wire_bytes_per_s": "bytes/s",
     "log_core": "cores",
+    "wakeups_per_s": "1/s",
 }
 
 
