Read on the upload of a caller that has closed its sending side

Change: a request whose body is still being read isn't looked at, as in the regular look. A function that nothing called goes.

Measured: a test that holds the connection for closed fails before, 503, and passes.

--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -101,8 +101,7 @@
         self.watch.enter(call)
         try:
             refused = self._read_body(source, call)
-            # A node that was stopped reads requests whose callers have given up.
-            if refused is None and has_disconnected(sock):
+            if refused is None and _has_left(call):
                 refused, call.gone = Reason.CALLER_GONE_BEFORE_START, True
             if refused is not None:
                 reply, body_stream = refusal(refused), None
@@ -172,8 +171,13 @@
         return None
 
 
-def _after(now_s, duration_ms):
-    return now_s + duration_ms / 1000 if duration_ms else None
+def _has_left(call):
+    """Return whether a request was read only after its caller had left.
+
+    A node that was stopped reads the requests of callers that have given up. While a
+    long body is being read, its caller may have sent all of it and closed its side.
+    """
+    return not isinstance(call.body, CallerBody) and has_disconnected(call.sock)
 
 
 def _respond(start_response, environ, reply, request_id, parts=None):
--- a/comfreywharf/platform/tests/test_stale_requests.py
+++ b/comfreywharf/platform/tests/test_stale_requests.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import socket as std_socket
+from unittest import mock
 
 import gevent
 import pytest
 
+from comfreywharf.daemon.requests import ingress
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.tests.builders import (
     Reply,
@@ -45,6 +47,21 @@
     assert deployment.send_request("n0", key=KEY).status == 200
 
 
+def test_an_upload_whose_caller_closed_its_sending_side_is_read_on(deployment):
+    """Guards against uploads that are refused since their last bytes have arrived."""
+    lines = (
+        "POST /book/1 HTTP/1.1",
+        "Host: a.example",
+        "X-Attempt-Id: upload",
+        f"X-Shard-Key: {KEY}",
+        "Transfer-Encoding: chunked",
+    )
+    chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+    data = "\r\n".join([*lines, "", ""]).encode() + chunk * 20 + b"0\r\n\r\n"
+    with mock.patch.object(ingress, "has_disconnected", return_value=True):
+        assert deployment.send("n0", data).status == 413
+
+
 @pytest.mark.parametrize("late_s", [0.0, 1.0])
 def test_a_request_is_not_sent_to_its_server_after_its_deadline(late_s):
     """Guards against a node that stops between the admission and the send."""
