Name the step that decided on a request, and the beliefs behind it

Cause: explain lists up to forty steps of a request that was passed around, and leaves it to the reader which of them decided, and how old what was believed is.

Change: the last refusal before the end is named, with the age of the log and the routes of the nodes that decided; a missing line of the node that was asked is told. JSON marks the step.

--- a/comfreywharf/cli/explain.py
+++ b/comfreywharf/cli/explain.py
@@ -10,6 +10,7 @@
 
 from comfreywharf.cli.exits import CommandError, ExitCode
 from comfreywharf.events.explain import format_steps, read_steps
+from comfreywharf.events.verdict import format_verdict, verdict_on
 
 __all__ = ["register"]
 
@@ -22,7 +23,9 @@
 def explain(request_id: str, /, *logs: Path, json: bool = False):
     """Tell what was decided on one request, by whom, and on what belief.
 
-    Reads the logs of any number of nodes, or standard input. Exits with 1 if no
+    Reads the logs of any number of nodes, or standard input. For a request that wasn't
+    answered, the step that decided comes last, with the beliefs behind it and their
+    ages. Exits with 1 if no
     line tells of the request: it may have gone well, since only one in 64 of those
     has lines.
 
@@ -49,10 +52,22 @@
         steps = read_steps(lines, request_id)
     if not steps:
         raise CommandError(ExitCode.REFUSED, f"no line tells of {request_id}")
+    verdict = verdict_on(steps)
     if json:
-        for step in steps:
-            print(orjson.dumps(attrs.asdict(step)).decode())
-    else:
-        for line in format_steps(steps):
-            print(line)
+        _print_json(steps, verdict)
+        return ExitCode.FINE
+    for line in format_steps(steps):
+        print(line)
+    for line in format_verdict(steps, verdict) if verdict else ():
+        print(line)
     return ExitCode.FINE
+
+
+def _print_json(steps, verdict):
+    deciding = verdict.index if verdict else None
+    for index, step in enumerate(steps):
+        document = {**attrs.asdict(step), "deciding": index == deciding}
+        if index == deciding:
+            document["complete"] = verdict.complete
+            document["beliefs"] = [attrs.asdict(each) for each in verdict.beliefs]
+        print(orjson.dumps(document).decode())
