Count the time that a request lay unread, in place of looking whether its caller left

Cause: the look counted a caller that has closed its sending side as gone at once, where the regular look leaves it a tenth of a second.

Change: the look goes. What a stopped or busy node can tell is how long the request has lain in its socket (TCP_INFO); its deadline and its target count from when it arrived, and one that is over is refused as not run, as every late request is. Callers that left before their deadline are found by the regular look, as before.

--- a/comfreywharf/daemon/requests/caller_watch.py
+++ b/comfreywharf/daemon/requests/caller_watch.py
@@ -15,7 +15,7 @@
 from comfreywharf.ticks import sleep_to_tick
 from comfreywharf.transport.gen.ttypes import ForwardRequest
 
-__all__ = ["Call", "CallerWatch", "has_disconnected"]
+__all__ = ["Call", "CallerWatch"]
 
 WATCH_INTERVAL_S = 0.1
 
@@ -91,16 +91,6 @@
                 self._on_disconnect(call)
 
 
-def has_disconnected(sock):
-    """Return whether a caller has closed its connection, or its sending side."""
-    fd = sock.fileno()
-    if fd < 0:
-        return True
-    poll = select.poll()
-    poll.register(fd, _DISCONNECTED)
-    return bool(poll.poll(0))
-
-
 def _stop_reading(call):
     # A caller that sends a byte now and then could occupy its greenlet and a
     # connection to the backend server without limit. The sending side stays open,
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -15,14 +15,11 @@
     CallerBody,
 )
 from comfreywharf.daemon.requests.caller_requests import parse_request
-from comfreywharf.daemon.requests.caller_watch import (
-    Call,
-    CallerWatch,
-    has_disconnected,
-)
+from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
 from comfreywharf.daemon.requests.dispatch import AnswerTruncated
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.routing import Outcome, Reason
+from comfreywharf.transport.arrivals import unread_s
 
 __all__ = ["BodySource", "Ingress"]
 
@@ -101,8 +98,6 @@
         self.watch.enter(call)
         try:
             refused = self._read_body(source, call)
-            if refused is None and _has_left(call):
-                refused, call.gone = Reason.CALLER_GONE_BEFORE_START, True
             if refused is not None:
                 reply, body_stream = refusal(refused), None
             else:
@@ -133,14 +128,16 @@
     def _create_call(self, parsed, sock, now_s):
         request = parsed.request
         request.ingress_node_id = self._node.settings.node_id
+        # A node that was stopped or busy reads requests that have lain in the socket.
+        arrived_s = now_s - unread_s(sock)
         return Call(
             request=request,
             service=parsed.service,
             body=b"",
             sock=sock,
             began_s=now_s,
-            deadline_s=now_s + request.remaining_ms / 1000,
-            target_deadline_s=now_s + request.target_ms / 1000
+            deadline_s=arrived_s + request.remaining_ms / 1000,
+            target_deadline_s=arrived_s + request.target_ms / 1000
             if request.target_ms
             else None,
         )
@@ -171,15 +168,6 @@
         return None
 
 
-def _has_left(call):
-    """Return whether a request was read only after its caller had left.
-
-    A node that was stopped reads the requests of callers that have given up. While a
-    long body is being read, its caller may have sent all of it and closed its side.
-    """
-    return not isinstance(call.body, CallerBody) and has_disconnected(call.sock)
-
-
 def _respond(start_response, environ, reply, request_id, parts=None):
     outcome = _OUTCOME_NAMES[reply.outcome]
     headers = [(header.name, header.value) for header in reply.headers]
--- a/comfreywharf/platform/tests/test_stale_requests.py
+++ b/comfreywharf/platform/tests/test_stale_requests.py
@@ -2,12 +2,11 @@
 
 import contextlib
 import socket as std_socket
-from unittest import mock
+import time
 
 import gevent
 import pytest
 
-from comfreywharf.daemon.requests import ingress
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.tests.builders import (
     Reply,
@@ -17,49 +16,65 @@
     forward_request,
     running_request,
 )
+from comfreywharf.platform.tests.builders import LONG_TIMEOUT_MS, wait_for
 from comfreywharf.routing import Reason
 
 KEY = 7
+STOPPED_MS = 200
 SETTLE_S = 0.3
 """Longer than a request without a fault takes from its arrival to its server."""
 
 
-def leave_request(port, request_id):
-    """Send a request and close its connection before any greenlet runs."""
-    with contextlib.closing(std_socket.create_connection(("127.0.0.1", port))) as sock:
-        lines = (
-            "GET /look/1 HTTP/1.1",
-            "Host: a.example",
-            f"X-Attempt-Id: {request_id}",
-            f"X-Shard-Key: {KEY}",
-            "X-Deadline-Ms: 1000",
-        )
-        sock.sendall("\r\n".join([*lines, "", ""]).encode())
+def send_unread(port, request_id, deadline_ms):
+    """Send a request before any greenlet runs; return its connection."""
+    sock = std_socket.create_connection(("127.0.0.1", port))
+    lines = (
+        "GET /look/1 HTTP/1.1",
+        "Host: a.example",
+        f"X-Attempt-Id: {request_id}",
+        f"X-Shard-Key: {KEY}",
+        f"X-Deadline-Ms: {deadline_ms}",
+        "Connection: close",
+    )
+    sock.sendall("\r\n".join([*lines, "", ""]).encode())
+    return sock
+
 
+def stop_node():
+    """Let no greenlet run for `STOPPED_MS`."""
+    time.sleep(STOPPED_MS / 1000)
 
-def test_a_request_that_is_read_after_its_caller_left_is_not_run(deployment):
+
+def test_a_request_that_is_read_after_its_deadline_is_not_run(deployment):
     """Guards against work for callers that gave up while their node was stopped."""
+    deployment.allow_long_requests()
     deployment.ledger.clear()
     for number, name in enumerate(deployment.nodes):
-        leave_request(deployment.ports[name][1], f"left-{number}")
+        port = deployment.ports[name][1]
+        send_unread(port, f"late-{number}", deadline_ms=STOPPED_MS // 2).close()
+    stop_node()
     gevent.sleep(SETTLE_S)
     assert not deployment.ledger
-    assert deployment.send_request("n0", key=KEY).status == 200
+    headers = {"X_Deadline_Ms": str(LONG_TIMEOUT_MS)}
+    assert deployment.send_request("n0", key=KEY, **headers).status == 200
 
 
-def test_an_upload_whose_caller_closed_its_sending_side_is_read_on(deployment):
-    """Guards against uploads that are refused since their last bytes have arrived."""
-    lines = (
-        "POST /book/1 HTTP/1.1",
-        "Host: a.example",
-        "X-Attempt-Id: upload",
-        f"X-Shard-Key: {KEY}",
-        "Transfer-Encoding: chunked",
+def test_the_time_that_a_request_lay_unread_counts(deployment):
+    """Guards against a server that works until after its caller's deadline."""
+    deployment.allow_long_requests()
+    sock = send_unread(deployment.ports["n0"][1], "read-late", LONG_TIMEOUT_MS)
+    stop_node()
+    with contextlib.closing(sock):
+        wait_for(
+            lambda: any(run.request_id == "read-late" for run in deployment.ledger)
+        )
+    (seen,) = (
+        headers
+        for server in deployment.servers.values()
+        for headers in server.headers
+        if headers["HTTP_X_ATTEMPT_ID"] == "read-late"
     )
-    chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
-    data = "\r\n".join([*lines, "", ""]).encode() + chunk * 20 + b"0\r\n\r\n"
-    with mock.patch.object(ingress, "has_disconnected", return_value=True):
-        assert deployment.send("n0", data).status == 413
+    assert int(seen["HTTP_X_DEADLINE_MS"]) <= LONG_TIMEOUT_MS - STOPPED_MS
 
 
 @pytest.mark.parametrize("late_s", [0.0, 1.0])
