--- a/comfreywharf/cli/explain.py
+++ b/comfreywharf/cli/explain.py
@@ -25,9 +25,8 @@
 
     Reads the logs of any number of nodes, or standard input. For a request that wasn't
     answered, the step that decided comes last, with the beliefs behind it and their
-    ages. Exits with 1 if no
-    line tells of the request: it may have gone well, since only one in 64 of those
-    has lines.
+    ages. Exits with 1 if no line tells of the request: it may have gone well, since
+    only one in 64 of those has lines.
 
     Example:
 
--- a/comfreywharf/daemon/ownership/planner.py
+++ b/comfreywharf/daemon/ownership/planner.py
@@ -91,6 +91,7 @@
         if state.planner_id != self._node_id:
             self._own_term = None
         elif self._own_term is None or self._own_term.number != state.planner_term:
+            # Few nodes of a fleet ever plan, so that the others don't load this.
             from comfreywharf.daemon.ownership.planning_term import PlanningTerm
 
             term = state.planner_term
--- a/comfreywharf/daemon/tests/test_snapshot_checks.py
+++ b/comfreywharf/daemon/tests/test_snapshot_checks.py
@@ -1,12 +1,15 @@
 """When a node looks for a newer snapshot than the one it began with."""
 
+from types import SimpleNamespace
+
 import gevent
 import pytest
 
 from comfreywharf.daemon.records.follower import Follower, ReadOptions
 from comfreywharf.daemon.records.logclient import Batch, LogError
 
-SETTLE_S = 0.05
+READ_S = 0.005
+TIMEOUT_S = 30.0
 
 
 class EmptyLog:
@@ -28,7 +31,7 @@
     def read(self, stream, start, limit=200, wait_ms=0):
         self._raise_if_down()
         self.reads += 1
-        gevent.sleep(SETTLE_S / 10)
+        gevent.sleep(READ_S)
         return Batch(first=0, next=0, records=())
 
     def _raise_if_down(self):
@@ -36,29 +39,33 @@
             raise LogError("down")
 
 
+def wait_for(condition):
+    """Let greenlets run until a condition holds; raises `gevent.Timeout`."""
+    with gevent.Timeout(TIMEOUT_S):
+        while not condition():
+            gevent.sleep(READ_S)
+
+
 @pytest.fixture
-def log():
-    """Yield a log that a follower has begun to follow."""
+def started():
+    """Yield a ``log`` and the ``follower`` that has begun to follow it."""
     client = EmptyLog()
     options = ReadOptions(wait_s=0.0, pause_s=0.0)
     follower = Follower(client, "s", lambda *args, **fields: None, read_options=options)
     greenlet = gevent.spawn(follower.run)
-    gevent.sleep(SETTLE_S)
-    yield client
+    wait_for(lambda: client.reads > 1)
+    yield SimpleNamespace(log=client, follower=follower)
     greenlet.kill()
 
 
-def test_a_node_that_starts_reads_the_snapshot_once(log):
+def test_a_node_that_starts_reads_the_snapshot_once(started):
     """Guards against a call to the log by each start that tells nothing new."""
-    assert log.reads > 1
-    assert log.snapshot_reads == 1
+    assert started.log.snapshot_reads == 1
 
 
-def test_a_node_looks_for_a_snapshot_after_an_outage(log):
+def test_a_node_looks_for_a_snapshot_after_an_outage(started):
     """Guards against a node that keeps records which the others gave up."""
-    log.down = True
-    gevent.sleep(SETTLE_S)
-    log.down = False
-    with gevent.Timeout(10):
-        while log.snapshot_reads < 2:
-            gevent.sleep(SETTLE_S)
+    started.log.down = True
+    wait_for(lambda: not started.follower.reachable)
+    started.log.down = False
+    wait_for(lambda: started.log.snapshot_reads == 2)
--- a/comfreywharf/ownership/tests/test_busy_takers.py
+++ b/comfreywharf/ownership/tests/test_busy_takers.py
@@ -150,8 +150,7 @@
 
 
 def test_an_ended_claims_request_delays_the_owner_that_the_planner_chose():
-    """Guards against a standby whose next claim completes the planner's move while a
-    request of its earlier claim still runs."""
+    """Guards against a move that completes while an earlier claim's request runs."""
     world = make_world(count=6, slices=12)
     standby = world.nodes[world.role("standby", KEY)]
     lose_owner(world, standby)
--- a/comfreywharf/tests/test_ticks.py
+++ b/comfreywharf/tests/test_ticks.py
@@ -23,6 +23,7 @@
 
 
 def test_a_timer_that_ends_a_little_early_doesnt_run_its_task_twice():
+    """Guards against two wake-ups for one tick."""
     left_s = seconds_to_tick(PHASE_S + 1.0 - 1e-4, 0.1, PHASE_S)
     assert abs(left_s - 0.1 - 1e-4) < 1e-6
 
