Name a lease's witnesses and their failure domains in its events

Cause: when the cut of a failure domain darkened keys of other domains, no line said which witnesses a node has, so that hypotheses about the choice could only be checked by reading the code.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -462,6 +462,8 @@
         self._not_before_s.pop(purpose, None)
         if purpose.kind == START and outcome.accepted:
             return self._started(state, purpose.detail, outcome, now_s)
+        if purpose.kind in (WITNESSES, RESET) and outcome.accepted:
+            return [self._groups.record_report(state, outcome.offset)]
         if purpose.kind == TAKE and not outcome.accepted:
             # The owner returned or the planner changed the assignment before
             # this record, so the claim is based on an outdated assignment.
@@ -475,7 +477,7 @@
         self.table.lease_began(state, now_s)
         self.holder.start_read_back(generation)
         self.rescan()
-        return [report("lease_started", offset=outcome.offset)]
+        return [self._groups.start_report(state, outcome.offset)]
 
     def folded(self, state, record, result, now_s):
         """Register a record that the fold has just applied."""
--- a/comfreywharf/ownership/witnessgroups.py
+++ b/comfreywharf/ownership/witnessgroups.py
@@ -1,5 +1,6 @@
 """Decide which witnesses replace lost, silent or leaving ones."""
 
+from comfreywharf.ownership.actions import report
 from comfreywharf.ownership.lostwitnesses import LostWitnesses
 from comfreywharf.ownership.witnesses import choose_witnesses, group_size
 from comfreywharf.records import LeaseStarted, WitnessesReset
@@ -47,6 +48,24 @@
             witnesses=witnesses,
         )
 
+    def start_report(self, state, offset):
+        """Return the event of a lease that was started by the record at ``offset``."""
+        ids, domains = self._witnesses_as_text(state)
+        return report("lease_started", offset=offset, witnesses=ids, domains=domains)
+
+    def record_report(self, state, offset):
+        """Return the event of witnesses that were recorded beside a lease."""
+        ids, domains = self._witnesses_as_text(state)
+        return report(
+            "witnesses_recorded", offset=offset, witnesses=ids, domains=domains
+        )
+
+    def _witnesses_as_text(self, state):
+        members = state.members
+        ids = members[self._node_id].witnesses
+        domains = [members[i].failure_domain if i in members else "-" for i in ids]
+        return " ".join(ids), " ".join(domains)
+
     def replace_lost(self, state, own_lease, may_hold, now_s):
         """Return ``(wants_probe, record)`` for replacing a lost majority.
 
