Spread a lease's witnesses so that no failure domain has a majority of them

Cause: a group was filled up without regard to domains once each known domain had one witness, so that of five witnesses in three domains often three lay in one; and a group that was chosen while few members were known was never spread later.

Change: `choose_witnesses` takes members of the domains in turn, and a smaller group, or one with the node itself, if only that leaves no domain a majority. The process tests of failures wait until the witnesses are spread.

`pairs_safe_to_lose` is stricter: it counts the group of a lost node as well.

--- a/comfreywharf/ownership/tests/builders.py
+++ b/comfreywharf/ownership/tests/builders.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from comfreywharf.ownership.tests.sim_node import DRIFT, SERVICE, SimNode
+from comfreywharf.ownership.tests.sim_node import DOMAINS, DRIFT, SERVICE, SimNode
 from comfreywharf.records import (
     ClusterState,
     ConfigPatched,
@@ -21,7 +21,7 @@
     key_hash,
 )
 
-__all__ = ["SERVICE", "Violation", "World", "make_world"]
+__all__ = ["SERVICE", "Violation", "World", "make_world", "owners_in_turn"]
 
 STEP_S = 0.05
 SHORT_S = 0.1
@@ -57,7 +57,7 @@
     requests for it, until the grant's time is over or the range is released.
     """
 
-    def __init__(self, node_ids, rates, fenced=False):
+    def __init__(self, node_ids, rates, fenced=False, domains=None):
         self.fenced = fenced
         self.real_s = 0.0
         self.log = []
@@ -69,8 +69,28 @@
         self.forwarded = []
         self._ids = itertools.count()
         self.nodes = {}
-        for node_id, rate in zip(node_ids, rates, strict=True):
-            self.nodes[node_id] = SimNode(self, node_id, rate)
+        domains = domains or [DOMAINS[index % 3] for index in range(len(node_ids))]
+        for node_id, rate, domain in zip(node_ids, rates, domains, strict=True):
+            self.nodes[node_id] = SimNode(self, node_id, rate, domain)
+
+    def add_node(self, node_id, domain):
+        """Add a node that starts now."""
+        self.nodes[node_id] = SimNode(self, node_id, 1.0, domain)
+
+    def declare(self, service, slices, longest_lease_ms=0):
+        """Declare a service, and start a planner's term for `move`."""
+        config = ServiceConfig(
+            name=service, slices=slices, longest_lease_ms=longest_lease_ms
+        )
+        patch = ConfigPatched(
+            record_id="config",
+            base_version=0,
+            services={service: config},
+            author="operator",
+        )
+        first = next(iter(self.nodes))
+        term = PlannerTermStarted(record_id="term", node_id=first, base_term=0)
+        self.log += [patch, term]
 
     def make_id(self):
         return f"record-{next(self._ids)}"
@@ -241,36 +261,28 @@
     node_ids = [f"node-{index}" for index in range(1, count + 1)]
     rates = [1.0 + DRIFT * (index % 2) for index in range(count)]
     world = World(node_ids, rates, fenced)
-    patch = ConfigPatched(
-        record_id="config",
-        base_version=0,
-        services={
-            SERVICE: ServiceConfig(
-                name=SERVICE, slices=slices, longest_lease_ms=longest_lease_ms
-            )
-        },
-        author="operator",
-    )
-    world.log += [
-        patch,
-        PlannerTermStarted(record_id="term", node_id="node-1", base_term=0),
-    ]
+    world.declare(SERVICE, slices, longest_lease_ms)
     world.run(1.0 + 2.0 * longest_lease_ms / 1000)
+    owners_in_turn(world)
+    world.run(2.0)
+    return world
+
+
+def owners_in_turn(world):
+    """Give the slices to the nodes in turn, each with the next node as standby."""
+    node_ids = list(world.nodes)
+    slices = world.nodes[node_ids[0]].state.slices[SERVICE].slices
     moves = [
         SliceMove(
             service=SERVICE,
             start=slice_.start,
             base_epoch=slice_.epoch,
-            owner=node_ids[index % count],
-            standby=node_ids[(index + 1) % count],
-        )
-        for index, slice_ in enumerate(
-            world.nodes["node-1"].state.slices[SERVICE].slices
+            owner=node_ids[index % len(node_ids)],
+            standby=node_ids[(index + 1) % len(node_ids)],
         )
+        for index, slice_ in enumerate(slices)
     ]
     move(world, moves)
-    world.run(2.0)
-    return world
 
 
 def move(world, moves):
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -14,7 +14,7 @@
 )
 from comfreywharf.records import ClusterState, NodeAnnounced, fold
 
-__all__ = ["DRIFT", "SERVICE", "SimNode"]
+__all__ = ["DOMAINS", "DRIFT", "SERVICE", "SimNode"]
 
 SERVICE = "booking"
 DRIFT = 0.2
@@ -26,8 +26,9 @@
 class SimNode:
     """A node that a `World` drives, and that sends and appends through it."""
 
-    def __init__(self, world, node_id, rate):
+    def __init__(self, world, node_id, rate, failure_domain):
         self.world = world
+        self.failure_domain = failure_domain
         self.node_id = node_id
         self.rate = rate
         self.offset_s = 1000.0 * rate
@@ -93,7 +94,6 @@
         if self.announced:
             return
         self.announced = True
-        index = sorted(self.world.nodes).index(self.node_id)
         self.world.append(
             self,
             NodeAnnounced(
@@ -104,7 +104,7 @@
                 caller_port=1,
                 peer_port=2,
                 operator_port=3,
-                failure_domain=DOMAINS[index % 3],
+                failure_domain=self.failure_domain,
                 region="riga",
                 service=SERVICE,
                 checks_fences=self.world.fenced,
--- a/comfreywharf/ownership/witnesses.py
+++ b/comfreywharf/ownership/witnesses.py
@@ -1,8 +1,15 @@
 """The choice of the witnesses for a node's lease."""
 
+from collections import Counter
+
 import xxhash
 
-__all__ = ["MIN_WITNESSES", "choose_witnesses", "group_size"]
+__all__ = [
+    "MIN_WITNESSES",
+    "choose_witnesses",
+    "depends_on_one_domain",
+    "group_size",
+]
 
 MIN_WITNESSES = 3
 """The fewest witnesses of a lease: a majority of them survives any single loss."""
@@ -22,34 +29,65 @@
     return size
 
 
+def depends_on_one_domain(state, group):
+    """Return whether the loss of one failure domain leaves no majority of a group."""
+    return _has_majority_domain(
+        [state.members[node_id] for node_id in group if node_id in state.members],
+        len(group),
+    )
+
+
 def choose_witnesses(state, node_id, kept=(), avoided=(), wanted=MIN_WITNESSES):
     """Return the ids of a node's witnesses, or an empty tuple if there are too few.
 
     Nodes in ``kept`` are preferred, nodes in ``avoided`` are excluded. The result has
     ``wanted`` witnesses if there are enough members, see `group_size`.
 
-    The witnesses lie in distinct failure domains if there are enough of these, so
-    that the loss of one domain leaves a majority. The node itself is included only
-    if there are fewer than three others. Rendezvous hashing spreads the work evenly
-    over the members.
+    No failure domain has a majority of the witnesses if the members allow it, so that
+    the loss of any one domain leaves a majority. For that the group may be smaller
+    than ``wanted``, and may include the node itself. Otherwise the node is included
+    only if there are fewer than three others. Rendezvous hashing spreads the work
+    evenly over the members.
     """
     out = {node_id, *avoided}
     others = [m for m in state.members.values() if m.node_id not in out]
     others.sort(key=lambda m: (m.node_id not in kept, _rank(node_id, m.node_id)))
     size = group_size(wanted, len(others))
-    if len(others) < size and node_id in state.members:
-        others.append(state.members[node_id])
-    chosen = []
-    for member in others:
-        domains = {m.failure_domain for m in chosen}
-        if member.failure_domain not in domains and len(chosen) < size:
-            chosen.append(member)
-    for member in others:
-        if member not in chosen and len(chosen) < size:
-            chosen.append(member)
-    if len(chosen) < size:
+    node = state.members.get(node_id)
+    if node is not None and len(others) < size:
+        others.append(node)
+    if len(others) < size:
         return ()
-    return tuple(member.node_id for member in chosen)
+    pools = [others]
+    if node is not None and node not in others and node_id not in avoided:
+        pools.append([*others, node])
+    group = next(_independent_groups(pools, size), _spread_over_domains(others, size))
+    return tuple(member.node_id for member in group)
+
+
+def _independent_groups(pools, size):
+    """Yield groups that survive the loss of any one domain, the preferred one first."""
+    for pool in pools:
+        for smaller in range(size, MIN_WITNESSES - 1, -2):
+            group = _spread_over_domains(pool, smaller)
+            if not _has_majority_domain(group, smaller):
+                yield group
+
+
+def _spread_over_domains(members, size):
+    """Return ``size`` members, evenly spread over domains, earlier ones preferred."""
+    counts = Counter()
+    by_turn = []
+    for place, member in enumerate(members):
+        by_turn.append((counts[member.failure_domain], place))
+        counts[member.failure_domain] += 1
+    by_turn.sort()
+    return [members[place] for _, place in by_turn[:size]]
+
+
+def _has_majority_domain(members, size):
+    counts = Counter(member.failure_domain for member in members)
+    return any(2 * count > size for count in counts.values())
 
 
 def _rank(node_id, other_id):
--- a/comfreywharf/ownership/witnessgroups.py
+++ b/comfreywharf/ownership/witnessgroups.py
@@ -2,7 +2,8 @@
 
 from comfreywharf.ownership.actions import report
 from comfreywharf.ownership.lostwitnesses import LostWitnesses
-from comfreywharf.ownership.witnesses import choose_witnesses, group_size
+from comfreywharf.ownership.witnesses import choose_witnesses
+from comfreywharf.ownership.witnessmoves import WitnessMoves
 from comfreywharf.records import LeaseStarted, WitnessesReset
 
 __all__ = ["WitnessGroups"]
@@ -24,6 +25,7 @@
         self._holder = holder
         self._make_id = make_id
         self.lost = LostWitnesses(terms)
+        self._moves = WitnessMoves(node_id, terms)
 
     def set_incarnation(self, incarnation):
         """Set this process's incarnation, once the log is read to its end."""
@@ -94,10 +96,11 @@
         )
 
     def replace_unfit(self, state, own_lease, now_s):
-        """Return the record that replaces silent or leaving witnesses, or ``None``.
+        """Return the record that replaces unfit or poorly spread witnesses, if any.
 
-        If such a witness were kept while there still is a majority, the next loss
-        would leave none, and the keys of a healthy node would have no owner. The new
+        If a silent or leaving witness were kept while there still is a majority, the
+        next loss would leave none, and the keys of a healthy node would have no
+        owner; so would the loss of a domain that holds most of the witnesses. The new
         group is recorded only once a majority of it grants the lease, so that the
         lease has no gap. The earlier group receives renewals as well until a majority
         of it has acknowledged the new epoch.
@@ -116,14 +119,11 @@
         return self.lease_started_record(own_lease, group)
 
     def _better_group(self, state, own_lease, now_s):
-        """Return a group without unfit witnesses, or a larger one; else ``()``."""
+        """Return a group without unfit witnesses, or a better one; else ``()``."""
         unfit = self._holder.silent_witnesses(now_s) | _leaving(state)
-        some_unfit = not unfit.isdisjoint(own_lease.witnesses)
-        size = group_size(self._terms.witnesses, len(state.members) - 1)
-        if not some_unfit and len(own_lease.witnesses) >= size:
-            return ()
-        group = self.choose(state, set(own_lease.witnesses) - unfit, unfit)
-        return group if some_unfit or len(group) > len(own_lease.witnesses) else ()
+        if unfit.isdisjoint(own_lease.witnesses):
+            return self._moves.better_group(state, own_lease.witnesses, unfit, now_s)
+        return self.choose(state, set(own_lease.witnesses) - unfit, unfit)
 
 
 def _leaving(state):
--- a/comfreywharf_dev/failures/tests/builders.py
+++ b/comfreywharf_dev/failures/tests/builders.py
@@ -82,11 +82,15 @@
 
 @contextlib.contextmanager
 def running_cluster(folder, *, booking=4, slices=12, proxied=False, **fields):
-    """Run a booking service in three failure domains, with all slices owned."""
+    """Run a booking service in three failure domains, ready to lose any one of them.
+
+    All slices are owned, and no domain has most of the witnesses of any node.
+    """
     plans = riga_plans(booking=booking, files=0, **fields)
     with Cluster(folder, plans, proxied=proxied) as cluster:
         cluster.submit(riga_services(slices=slices))
         cluster.wait_owned("booking")
+        cluster.wait_witnesses_spread()
         yield cluster
 
 
@@ -105,23 +109,17 @@
 def pairs_safe_to_lose(cluster, seen_by):
     """Return the pairs of nodes whose loss leaves every other node its quorum.
 
-    The witnesses of a node depend on the order in which nodes announced themselves,
-    and so on the machine's load. A node that loses two of its three witnesses has no
-    lease until one of them is back or replaced. That is a known limit, covered by
+    A node that loses two of its three witnesses has no lease until one of them is back
+    or replaced. That is a known limit, covered by
     `test_owners_serve_again_after_two_witnesses_are_replaced`.
     """
     members = cluster.state(seen_by)["members"]
-    groups = {name: set(member["witnesses"]) for name, member in members.items()}
+    groups = [set(member["witnesses"]) for member in members.values()]
     return [
         (one, other)
-        for one in groups
-        for other in groups
-        if one != other
-        and not any(
-            {one, other} <= group
-            for name, group in groups.items()
-            if name not in (one, other)
-        )
+        for one in members
+        for other in members
+        if one != other and not any({one, other} <= group for group in groups)
     ]
 
 
--- a/comfreywharf_dev/standins/cluster.py
+++ b/comfreywharf_dev/standins/cluster.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 import attrs
@@ -420,6 +421,20 @@
         self.wait_owned(service, timeout_s)
         wait_until(lambda: self._all_standbys_ready(service), timeout_s)
 
+    def wait_witnesses_spread(self, timeout_s=START_TIMEOUT_S):
+        """Wait until no failure domain has most of the witnesses of any node.
+
+        Nodes that started early chose their witnesses among few members, and move
+        them when they know more. Every running node has the moves in its state then.
+        """
+        wait_until(
+            lambda: all(
+                _are_witnesses_spread(self.state(node_id)["members"])
+                for node_id in self._running_node_ids()
+            ),
+            timeout_s,
+        )
+
     def _all_standbys_ready(self, service):
         running = self._running_node_ids()
         slices = self.state(running[0])["slices"][service]["slices"]
@@ -512,6 +527,17 @@
             self._reserved_sockets.pop().close()
 
 
+def _are_witnesses_spread(members):
+    for member in members.values():
+        group = member["witnesses"]
+        domains = Counter(members[one]["failure_domain"] for one in group)
+        if not group or member["earlier_witnesses"]:
+            return False
+        if 2 * max(domains.values()) > len(group):
+            return False
+    return True
+
+
 def _bind(port):
     """Return a socket bound to a port on loopback, or ``None`` if it is in use."""
     sock = socket.socket()
