Keep a fence in use for as long as its range and lease stay

Cause: the fence in use followed the newest record on a slice or its owner's lease: a new standby's, other witnesses', and, at a taker, the record of its own takeover, although owner, range and lease stayed the same.

Change: an owner keeps the fence under which it began to serve a range until the range changes, the slice moves, or its lease begins anew. A slice that waits for its move is served under it as well. A claim keeps the fence of its first use, also once the takeover is on record. A taker's fence is above that of the newest record, and so above the one in use; one that claims from the taker has folded the takeover.

The check of invariants.py is unchanged.

--- a/comfreywharf/ownership/claims.py
+++ b/comfreywharf/ownership/claims.py
@@ -51,6 +51,7 @@
     The share is fixed when the claim begins: a slice that a later record assigns
     to this node may still be served by another taker under the earlier view.
     A lapsed claim is never held again; a new claim uses the current epochs.
+    ``fences`` are those under which slices of the share have been served.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.began_s = now_s
         self.held_since_s = None
         self.over = False
+        self.fences = {}
         self._taker_id = taker_id
         self._taker_incarnation = taker_incarnation
         self._lease_epoch = owner.lease_epoch
@@ -114,6 +116,14 @@
             round=number,
         )
 
+    def fence_in_use(self, key, newest_fence):
+        """Return the fence of a slice, which stays that of its first use.
+
+        If it rose during the claim, the backend server would refuse what was sent to
+        it under the earlier one.
+        """
+        return self.fences.setdefault(key, newest_fence)
+
     def grant_received(self, witness, number, term, now_s):
         """Register a witness's grant; return whether it gave the first majority."""
         self.tick(now_s)
--- a/comfreywharf/ownership/table.py
+++ b/comfreywharf/ownership/table.py
@@ -54,8 +54,8 @@
 
 
 @attrs.frozen
-class _LastFence:
-    """The fence under which an own slice was last served, and the slice's end."""
+class _FenceInUse:
+    """The fence under which an own slice is served, and the slice's end."""
 
     end: int
     fence: int
@@ -68,11 +68,11 @@
     earlier owner's release; by the earlier owner until the new one requests that
     release; and by a taker, under its claim on the owner's lapsed lease.
 
-    An owner uses a fence only once a majority of its witnesses has acknowledged the
-    record that raised it. Otherwise they could grant a claim on the earlier state, and
-    the taker's server would be granted the key under a lower fence than the owner's.
-    Until then the owner continues under its earlier fence, or waits if it had none for
-    this range.
+    An owner begins to use a fence only once a majority of its witnesses has
+    acknowledged the record that raised it. Otherwise they could grant a claim on the
+    earlier state, and the taker's server would be granted the key under a lower fence
+    than the owner's. It keeps the fence while it has the range and its lease: any
+    taker's is higher than the newest one, and so than the one in use.
     """
 
     def __init__(self, node_id, holder, inflight, fenced=False):
@@ -85,7 +85,7 @@
         self._unreleased = {}
         self._memory_complete_since_s = {}
         self._newest_slice_epoch = -1
-        self._last_fences = {}
+        self._fences_in_use = {}
 
     def right_to_serve(self, state, service, key, now_s, remaining_s):
         """Return the `Right` to serve one request that arrived at ``now_s``."""
@@ -137,13 +137,20 @@
         return _Basis(fence, (self.holder.lease, *leases))
 
     def _fence_in_use(self, slice_id, slice_, state):
-        """Return the newest fence of an own slice that may be used, or ``None``."""
+        """Return the fence under which an own slice is served, or ``None`` as yet.
+
+        It stays the same for as long as the node has the range and its lease, also if
+        a record names another standby or other witnesses. If it rose, the backend
+        server would refuse what was sent to it under the earlier one.
+        """
+        used = self._fences_in_use.get(slice_id)
+        if used is not None and used.end == slice_.end:
+            return used.fence
         fence = state.fence(slice_)
-        if self._is_acknowledged(fence):
-            self._last_fences[slice_id] = _LastFence(slice_.end, fence)
-            return fence
-        used = self._last_fences.get(slice_id)
-        return used.fence if used is not None and used.end == slice_.end else None
+        if not self._is_acknowledged(fence):
+            return None
+        self._fences_in_use[slice_id] = _FenceInUse(slice_.end, fence)
+        return fence
 
     def _is_acknowledged(self, fence):
         """Return whether any further claim leads to a higher fence than this one."""
@@ -163,7 +170,7 @@
         if leases is None:
             return Right(reason=Reason.NOT_YET_OWNER, owner_hint=slice_.previous)
         leases = (self.holder.lease, claim.lease, *leases)
-        return _Basis(state.takeover_fence(slice_), leases)
+        return _Basis(claim.fence_in_use(key, state.takeover_fence(slice_)), leases)
 
     def _release_leases(self, key, slice_, now_s):
         """Return the leases that replace a missing release, if any.
@@ -213,14 +220,16 @@
         """Register that a record changed a slice."""
         slice_id = (service, after.start)
         owned_before = before is not None and before.owner == self._node_id
+        used = self._fences_in_use.get(slice_id)
         if after.owner == self._node_id:
             self._newest_slice_epoch = max(self._newest_slice_epoch, after.epoch)
         if not owned_before or after.owner != self._node_id or before.end != after.end:
-            self._last_fences.pop(slice_id, None)
+            self._fences_in_use.pop(slice_id, None)
         if after.owner == self._node_id and not owned_before:
             self._became_owner(service, before, after, now_s)
+            self._keep_claimed_fence(service, before, after, now_s)
         if after.previous == self._node_id and owned_before:
-            fence = state.fence(before)
+            fence = used.fence if used else state.fence(before)
             self._unreleased[slice_id] = _UnreleasedSlice(
                 epoch=after.epoch, fence=fence
             )
@@ -254,6 +263,21 @@
         elif not self._has_claim_on(service, before):
             self._memory_complete_since_s[slice_id] = now_s
 
+    def _keep_claimed_fence(self, service, before, after, now_s):
+        """Keep the fence of a claim whose takeover has been recorded.
+
+        A further claim, on this node's lease, is based on that record, so that its
+        fence is higher.
+        """
+        if before is None or before.end != after.end:
+            return
+        claim = self.claims.get(before.owner)
+        key = SliceKey(service, before.start, before.epoch)
+        if claim is not None and claim.holds(key, now_s) and key in claim.fences:
+            self._fences_in_use[(service, after.start)] = _FenceInUse(
+                after.end, claim.fences[key]
+            )
+
     def _has_claim_on(self, service, slice_):
         """Return whether a slice is in the share of a claim of this node."""
         claim = self.claims.get(slice_.owner)
@@ -268,7 +292,7 @@
 
     def slices_merged(self, service, start, next_start):
         """Count the memory of a merged slice from the later of its parts' starts."""
-        self._last_fences.pop((service, next_start), None)
+        self._fences_in_use.pop((service, next_start), None)
         since_s = self._memory_complete_since_s.pop((service, next_start), ALWAYS_S)
         if (service, start) in self._memory_complete_since_s:
             kept_s = self._memory_complete_since_s[(service, start)]
@@ -281,7 +305,7 @@
         other nodes since, so that the memory of request ids may be incomplete.
         """
         self._unreleased.clear()
-        self._last_fences.clear()
+        self._fences_in_use.clear()
         self._memory_complete_since_s.clear()
         for service, slice_ in state.owned_by(self._node_id):
             self._memory_complete_since_s[(service, slice_.start)] = now_s
