Grant a live owner's renewal before a claim at a restarted witness

The clocks of witnesses differ, so that one of them may tell a standby of a lapse while another has just begun to grant; whoever asks there first gets the lease, and a standby asks four times as often as an owner.

Change: a witness that has restarted, or was just chosen, denies claims on an owner's lease for one renewal interval from when it grants, unless the owner has renewed.

Result: the new test of a claim before the renewal fails on the code before; a claim on an owner that doesn't renew is granted after the interval.

--- a/comfreywharf/ownership/tests/test_due_notices.py
+++ b/comfreywharf/ownership/tests/test_due_notices.py
@@ -6,7 +6,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from comfreywharf.ownership import LeaseTerms, OwnerView, Renewal, Witness
+from comfreywharf.ownership import Claim, LeaseTerms, OwnerView, Renewal, Witness
+from comfreywharf.ownership.messages import Denial
 from comfreywharf.ownership.witness import NOTICE_INTERVAL_S
 
 TERMS = LeaseTerms(lease_s=1.0, drift=0.0)
@@ -65,6 +66,38 @@
     assert witness.lapsed_owners(("a",), next_s) == []
 
 
+def test_a_restarted_witness_grants_the_owner_before_it_grants_a_claim():
+    """Guards against a claim by another witness's notice on a live owner's lease."""
+    witness = Witness(TERMS, 0.0, 1)
+    witness.watch({"a": 2.5}, 0.1)
+    assert not claim(witness, "a", 1, 2.51).granted
+    assert renew(witness, "a", 1, 2.52, 2.5)
+    assert claim(witness, "a", 2, 2.53).denial is Denial.HELD
+
+
+def test_a_restarted_witness_grants_a_claim_on_an_owner_that_doesnt_renew():
+    """Guards against keys of a lost owner that stay dark behind a restarted witness."""
+    witness = Witness(TERMS, 0.0, 1)
+    witness.watch({"a": 2.5}, 0.1)
+    assert claim(witness, "a", 1, 2.5 + TERMS.renew_interval_s).granted
+
+
+def claim(witness, owner_id, number, now_s):
+    """Return a witness's answer to a standby's claim."""
+    request = Claim(
+        owner_id=owner_id,
+        taker_id="t",
+        taker_incarnation=1,
+        lease_epoch=1,
+        portfolio_epoch=1,
+        lease_s=1.0,
+        reach_s=0.0,
+        round=number,
+    )
+    view = attrs.evolve(VIEW, longest_lease_s=2.5)
+    return witness.claim(request, view, 5.0, now_s)
+
+
 def test_standbys_of_an_owner_that_never_renews_with_a_restarted_witness_are_told():
     """Guards against an owner that is lost together with its witnesses for good."""
     witness = Witness(TERMS, 0.0, 1)
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -160,6 +160,9 @@
         if wait_s > 0:
             return self._deny(Denial.SILENT, wait_s)
         watched = self._lookup(claim.owner_id)
+        expected_s = self._renewal_expected_s(watched)
+        if now_s < expected_s and not watched.was_held:
+            return self._deny(Denial.SILENT, expected_s - now_s)
         watched.drop_inactive(now_s)
         current = watched.takers.get(claim.taker_id)
         if current and current.incarnation == claim.taker_incarnation:
@@ -239,7 +242,8 @@
 
         An owner may have named this witness in a record before it renews here, and
         after a restart this witness refuses its renewals for a while. It is given time
-        for a renewal after that, so that no standby claims the lease of a live owner.
+        for a renewal after that, so that no standby claims the lease of a live owner,
+        also if another witness has told that standby of a lapse.
         """
         for owner_id, longest_s in longest_leases_s.items():
             if owner_id not in self._watched:
@@ -266,9 +270,12 @@
 
     def _notice_due_s(self, owner_id):
         watched = self._lookup(owner_id)
-        expected_s = watched.renewable_s + self._terms.renew_interval_s
         notified_s = watched.notified_s + NOTICE_INTERVAL_S
-        return max(watched.expires_s, expected_s, notified_s)
+        return max(watched.expires_s, self._renewal_expected_s(watched), notified_s)
+
+    def _renewal_expected_s(self, watched):
+        """Return until when a live owner will have renewed here for the first time."""
+        return watched.renewable_s + self._terms.renew_interval_s
 
     def _notice_due(self, owner_id, now_s):
         if now_s < self._notice_due_s(owner_id):
