Let a process that restarts in place not wait for its predecessor's lease

Cause: a witness refuses a new process until the lease of the one before may have ended, as that may run on, on a frozen machine that was replaced. A restarted witness doesn't know that lease and assumes the longest. The process before has nearly always ended, and nobody said so.

Change: a process that listens at the address where the last holder of the node's lease did knows that this one has ended, and says so in its renewals until it has had the lease. A witness then waits only for claims that it may have granted, which last for the shortest lease, and only if its own fold has this process as the newest and the backend server checks fences; otherwise as before. A taker waits as before: the first lease is the longest, so that it covers what the earlier process granted. The field is optional in thrift; nodes of either version understand each other.

Result: in the simulation with a bound of three leases, all keys are served right after the silence for the shortest lease; a single restarted node has its key after 0.4 s. The tests fail before.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -34,6 +34,7 @@
 from comfreywharf.daemon.stopping import stop_gracefully, stop_within
 from comfreywharf.events.ownership import OwnershipTracker
 from comfreywharf.membership import NodeFacts, NodeLifecycle, PauseDetector
+from comfreywharf.membership.predecessors import has_predecessor_ended
 from comfreywharf.metrics import Metrics
 from comfreywharf.ownership import MIN_WITNESSES
 from comfreywharf.ownership.holds import NOTHING_HELD_S
@@ -69,6 +70,7 @@
         self.ports = ports or OwnPorts(settings)
         self.incarnation = time.time_ns() // 1_000_000
         self.incarnation_chosen = Event()
+        self.predecessor_ended = False
         self.lifecycle = NodeLifecycle()
         self.metrics = Metrics()
         self.reporter = Reporter(settings.node_id, self.incarnation, self.metrics)
@@ -199,6 +201,8 @@
     def _choose_incarnation(self):
         """Choose this process's incarnation, once the log was read to its end.
 
+        What the log says of this node then is still of its earlier process.
+
         A machine may be replaced by one whose clock is behind. With an incarnation
         from that clock alone, its announcement would be refused as that of an older
         process, and the node would never own anything again.
@@ -207,6 +211,9 @@
         member = self.follower.state.members.get(self.settings.node_id)
         if member is not None:
             self.incarnation = max(self.incarnation, member.incarnation + 1)
+        self.predecessor_ended = has_predecessor_ended(
+            member, self.settings.host, self.settings.peer_port
+        )
         self.incarnation_chosen.set()
 
     def stop(self, reason):
--- a/comfreywharf/daemon/ownership/lease_messages.py
+++ b/comfreywharf/daemon/ownership/lease_messages.py
@@ -32,6 +32,7 @@
         event_clock=0,
         round=renewal.round,
         vouched=renewal.vouched,
+        predecessor_ended=renewal.predecessor_ended,
     )
 
 
@@ -46,6 +47,7 @@
         reach_s=request.reach_ms / 1000,
         round=request.round,
         vouched=request.vouched,
+        predecessor_ended=bool(request.predecessor_ended),
     )
 
 
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -89,10 +89,13 @@
         """Return the `LostWitnesses` that tracks whether a majority answers."""
         return self._groups.lost
 
-    def set_incarnation(self, incarnation):
-        """Set this process's incarnation, once the log is read to its end."""
+    def set_incarnation(self, incarnation, predecessor_ended=False):
+        """Set this process's incarnation, once the log is read to its end.
+
+        ``predecessor_ended`` is as in `Holder.set_incarnation`.
+        """
         self._incarnation = incarnation
-        self.holder.set_incarnation(incarnation)
+        self.holder.set_incarnation(incarnation, predecessor_ended)
         self._groups.set_incarnation(incarnation)
 
     @property
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -49,6 +49,7 @@
         self._lease = QuorumLease(terms, [()])
         self._known_witness_terms = {}
         self._generation = 0
+        self._predecessor_ended = False
         self._was_started = False
         self._round_sent_s = float("-inf")
         self._sent_epoch = -1
@@ -60,9 +61,14 @@
         self.lease_s = terms.lease_s
         self.candidates = ()
 
-    def set_incarnation(self, incarnation):
-        """Set the incarnation of this process, before any request is sent."""
+    def set_incarnation(self, incarnation, predecessor_ended=False):
+        """Set the incarnation of this process, before any request is sent.
+
+        ``predecessor_ended`` says that the process that held the lease before has
+        certainly ended. It is told to the witnesses until they grant the lease.
+        """
         self._incarnation = incarnation
+        self._predecessor_ended = predecessor_ended
 
     @property
     def phase(self):
@@ -314,6 +320,7 @@
             lease_s=lease_s,
             reach_s=max(0.0, reach_s),
             round=number,
+            predecessor_ended=self._predecessor_ended and self._generation == 0,
         )
 
     def recover(self):
--- a/comfreywharf/ownership/messages.py
+++ b/comfreywharf/ownership/messages.py
@@ -27,7 +27,8 @@
     ``lease_s`` of zero gives the lease up. ``reach_s`` is the time from the sending
     to the latest deadline of the forwarded requests. ``round`` grows with each renewal.
     ``vouched`` says that an earlier grant of the receiving witness still counts at
-    the sending.
+    the sending. ``predecessor_ended`` says that the process which held the lease
+    before has certainly ended, and that the sender hasn't held it yet.
     """
 
     owner_id: str
@@ -38,6 +39,7 @@
     reach_s: float
     round: int
     vouched: bool = False
+    predecessor_ended: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -48,8 +48,12 @@
         self.offset_s = self.now_s() - self.world.real_s * rate
         self.rate = rate
 
-    def restart(self):
-        """Restart the process with an empty memory."""
+    def restart(self, predecessor_ended=False):
+        """Restart the process with an empty memory.
+
+        ``predecessor_ended`` says that the new process knows that the one before isn't
+        frozen on another machine.
+        """
         self.incarnation += 1
         self.state = ClusterState()
         self.agent = OwnershipAgent(
@@ -59,6 +63,7 @@
             self.world.make_id,
             fenced=self.world.fenced,
         )
+        self.agent.set_incarnation(self.incarnation, predecessor_ended)
         self.witness = None
         self.caught_up = False
         self.announced = False
--- a/comfreywharf/ownership/tests/test_restarted_fleet.py
+++ b/comfreywharf/ownership/tests/test_restarted_fleet.py
@@ -11,13 +11,13 @@
 GROUP = ("a", "b", "c")
 
 
-def seconds_to_last_key(longest_lease_ms):
+def seconds_to_last_key(longest_lease_ms, predecessor_ended=False):
     """Return the time from the start of all nodes until each key is served."""
     world = make_world(count=7, fenced=True, longest_lease_ms=longest_lease_ms)
     owners = {key: world.role("owner", key) for key in KEYS}
     world.messages.clear()
     for node in world.nodes.values():
-        node.restart()
+        node.restart(predecessor_ended)
     world.forwarded.clear()
     started_s = world.real_s
     while not all(world.served(key) for key in KEYS):
@@ -41,6 +41,36 @@
     assert seconds_to_last_key(int(longest_lease_ms)) <= allowed_s
 
 
+def test_no_lease_of_an_ended_process_is_waited_for():
+    """Guards against a wait for the longest lease after all nodes restarted in place.
+
+    Only claims may still count that the witnesses granted before, and they are as long
+    as the shortest lease."""
+    allowed_s = silence_s(0.0) + 4 * STEP_S
+    assert seconds_to_last_key(int(1000 * LONGEST_S), True) <= allowed_s
+
+
+@pytest.mark.parametrize("fenced", [True, False])
+def test_a_process_that_restarts_in_place_has_its_keys_back_at_once(fenced):
+    """Guards against keys that wait for the lease of a process that was killed.
+
+    Where servers check no fences, requests of that process may still take effect."""
+    world = make_world(count=7, fenced=fenced, longest_lease_ms=int(1000 * LONGEST_S))
+    owner = world.nodes[world.role("owner", KEYS[0])]
+    owner.restart(predecessor_ended=True)
+    world.run(0.4)
+    assert world.request(owner.node_id, KEYS[0]) is fenced
+
+
+def test_a_process_on_another_machine_waits_for_the_one_before():
+    """Guards against two owners after a frozen machine was replaced."""
+    world = make_world(count=7, fenced=True, longest_lease_ms=int(1000 * LONGEST_S))
+    owner = world.nodes[world.role("owner", KEYS[0])]
+    owner.restart(predecessor_ended=False)
+    world.run(0.8)
+    assert not world.request(owner.node_id, KEYS[0])
+
+
 def holder_of_group():
     holder = Holder("x", 1, TERMS)
     holder.use_witnesses([GROUP])
@@ -80,6 +110,17 @@
         assert not holder.majority_overdue(now_s)
 
 
+def test_a_process_mentions_its_predecessor_until_it_has_had_the_lease():
+    """Guards against a process that was replaced and still counts as the newest."""
+    holder = holder_of_group()
+    holder.set_incarnation(2, predecessor_ended=True)
+    first = holder.renewal(OwnLease(), 10.0, 10.0)
+    assert first.predecessor_ended
+    for witness in GROUP:
+        holder.grant_received(witness, first.round, 1, 10.1)
+    assert not holder.renewal(OwnLease(), 10.2, 10.2).predecessor_ended
+
+
 def test_a_node_whose_witnesses_dont_answer_pauses_its_requests():
     """Guards against a lease that is extended forever by requests without answers."""
     holder = holder_of_group()
--- a/comfreywharf/ownership/tests/test_sole_ownership.py
+++ b/comfreywharf/ownership/tests/test_sole_ownership.py
@@ -69,12 +69,17 @@
             return
         if node.backend_up:
             node.backend_up = False
-            lost = node.agent.surrender(node.state, "backend lost", node.now_s())
-            node.carry_out(lost)
+            now_s = node.now_s()
+            ends_s = self.last_grant_end_s(node)
+            node.carry_out(node.agent.surrender(node.state, "lost", now_s, ends_s))
         else:
             node.backend_up = True
             node.agent.recover()
 
+    def last_grant_end_s(self, node):
+        """Return until when a node's server may hold keys; ``None`` if unknown."""
+        return None
+
     @rule(source=roles, sink=roles)
     def cut(self, source, sink):
         self.world.cuts.add((self.node(source).node_id, self.node(sink).node_id))
@@ -156,6 +161,40 @@
 )
 
 
+class FencedSoleOwnership(SoleOwnership):
+    """The same where servers check fences, with restarts in place among the faults.
+
+    A node's server keeps its grants when the node's process is killed.
+    """
+
+    @initialize()
+    def begin(self):
+        self.world = make_world(fenced=True, longest_lease_ms=2000)
+
+    def last_grant_end_s(self, node):
+        serving = node.agent.table.serving(node.state, node.now_s())
+        return max([until_s for *_, until_s in serving], default=node.now_s())
+
+    @rule(role=roles)
+    def restart_in_place(self, role):
+        self.node(role).restart(predecessor_ended=True)
+
+    @rule(duration_s=st.sampled_from([0.1, 0.7]))
+    def restart_all_in_place(self, duration_s):
+        for node in self.world.nodes.values():
+            node.restart(predecessor_ended=True)
+        self.world.run(duration_s)
+
+
+TestFencedSoleOwnership = FencedSoleOwnership.TestCase
+TestFencedSoleOwnership.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=40,
+    stateful_step_count=40,
+)
+
+
 def test_the_world_serves_every_key():
     """The other tests aren't vacuous: each key has an owner in the world."""
     world = make_world()
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -110,8 +110,13 @@
             and view.lease_incarnation != renewal.incarnation
             and not view.checks_fences
         )
+        succeeds = _succeeds_ended_process(renewal, view)
         wait_s = self._wait_s(
-            renewal.owner_id, view, awaits_requests, longest_request_s, now_s
+            renewal.owner_id,
+            0.0 if succeeds else view.longest_lease_s,
+            awaits_requests,
+            longest_request_s,
+            now_s,
         )
         # ``vouched`` says that a grant by this witness's earlier process still
         # counts, so that the process granted the lease to no other node. If the
@@ -135,7 +140,7 @@
             # It may serve until its lease is over, and its forwarded requests
             # may take effect until their deadlines.
             held_until_s = watched.held_until_s(view.checks_fences)
-            if now_s < held_until_s:
+            if now_s < held_until_s and not succeeds:
                 return self._deny(Denial.HELD, held_until_s - now_s)
             watched.term = self._new_term()
         self._hold(watched, renewal, now_s)
@@ -155,7 +160,11 @@
         """Answer a standby's claim on a share of a lapsed lease."""
         awaits_requests = not view.checks_fences
         wait_s = self._wait_s(
-            claim.owner_id, view, awaits_requests, longest_request_s, now_s
+            claim.owner_id,
+            view.longest_lease_s,
+            awaits_requests,
+            longest_request_s,
+            now_s,
         )
         if wait_s > 0:
             return self._deny(Denial.SILENT, wait_s)
@@ -182,16 +191,20 @@
             watched.term = self._new_term()
         return self._grant_share(watched, claim, now_s)
 
-    def _wait_s(self, owner_id, view, awaits_requests, longest_request_s, now_s):
+    def _wait_s(
+        self, owner_id, longest_lease_s, awaits_requests, longest_request_s, now_s
+    ):
         """Return how long this witness still has to refuse grants of a lease.
 
+        ``longest_lease_s`` bounds the owner's leases that may still count; claims
+        never last longer than the shortest lease.
         After a restart it has no record of an owner's outstanding deadlines until that
         owner has renewed with it. ``awaits_requests`` says that a new process or a
         taker begins to act in the owner's place, and that requests which were
         forwarded earlier may outlast their grants; it has to wait for the longest
         possible deadline.
         """
-        until_s = self._terms.silent_until_s(self._started_s, view.longest_lease_s)
+        until_s = self._terms.silent_until_s(self._started_s, longest_lease_s)
         watched = self._watched.get(owner_id)
         if awaits_requests and (watched is None or not watched.was_held):
             until_s = max(until_s, self._started_s + longest_request_s)
@@ -310,3 +323,16 @@
 
     def _deny(self, denial, retry_after_s=0.0):
         return Grant(granted=False, denial=denial, retry_after_s=retry_after_s)
+
+
+def _succeeds_ended_process(renewal, view):
+    """Return whether no earlier process can act by a lease of this owner.
+
+    Its requests may still be running at the backend server, which refuses them
+    only if it checks fences: the next lease has higher ones.
+    """
+    return (
+        renewal.predecessor_ended
+        and renewal.incarnation == view.incarnation
+        and view.checks_fences
+    )
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -848,6 +848,7 @@
      - event_clock
      - round
      - vouched
+     - predecessor_ended
 
     """
 
@@ -861,10 +862,11 @@
         'event_clock',
         'round',
         'vouched',
+        'predecessor_ended',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, lease_epoch=None, portfolio_epoch=None, lease_ms=None, reach_ms=None, event_clock=None, round=None, vouched=None,):
+    def __init__(self, node_id=None, incarnation=None, lease_epoch=None, portfolio_epoch=None, lease_ms=None, reach_ms=None, event_clock=None, round=None, vouched=None, predecessor_ended=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.lease_epoch = lease_epoch
@@ -874,6 +876,7 @@
         self.event_clock = event_clock
         self.round = round
         self.vouched = vouched
+        self.predecessor_ended = predecessor_ended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -929,6 +932,11 @@
                     self.vouched = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.predecessor_ended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -975,6 +983,10 @@
             oprot.writeFieldBegin('vouched', TType.BOOL, 9)
             oprot.writeBool(self.vouched)
             oprot.writeFieldEnd()
+        if self.predecessor_ended is not None:
+            oprot.writeFieldBegin('predecessor_ended', TType.BOOL, 10)
+            oprot.writeBool(self.predecessor_ended)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3038,6 +3050,7 @@
     (7, TType.I64, 'event_clock', None, None, ),  # 7
     (8, TType.I64, 'round', None, None, ),  # 8
     (9, TType.BOOL, 'vouched', None, None, ),  # 9
+    (10, TType.BOOL, 'predecessor_ended', None, None, ),  # 10
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -79,6 +79,7 @@
   7: required i64 event_clock,
   8: required i64 round,               // increases with each renewal of an incarnation
   9: required bool vouched             // a grant of this witness is still in force
+  10: optional bool predecessor_ended  // the node's earlier process is gone
 }
 
 // From a node that may take over from a node whose lease expired, to the latter's
