Replace no witness that answers, nor any that a node couldn't hear itself

Cause: a witness counted as lost once it had granted nothing for a while, whatever it answered, and whoever was at fault. One node hears from none of its five witnesses for a second, as its link is full; it has its lease back at 9.83 s, and from 10.1 s on replaces three of the five, two records each, which every node is sent over the same links.

Change: a witness that refuses for a takeover has answered. After a lapse a node gives each witness the usual time from when it has its lease back.

Result: two new tests fail before; tests of ownership and daemon pass.

--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -197,7 +197,9 @@
 
         A lease that a standby has taken over may be held for much longer.
         """
-        if grant.denial is not Denial.TAKEN and grant.retry_after_s > 0:
+        if grant.denial is Denial.TAKEN:
+            self.holder.refused(witness, 0.0, now_s)
+        elif grant.retry_after_s > 0:
             self.holder.refused(witness, grant.retry_after_s, now_s)
 
     def _reset_witnesses(self, state, now_s, may_hold):
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -57,6 +57,7 @@
         self._majority_due_s = None
         self._requested_since_s = {}
         self._refusing_until_s = {}
+        self._regained_s = float("-inf")
         self._requested_until_s = float("-inf")
         self.lease_s = terms.lease_s
         self.candidates = ()
@@ -224,13 +225,14 @@
     def silent_witnesses(self, now_s):
         """Return those of ``recipients`` that have granted nothing for too long.
 
-        A witness that has restarted says how long it refuses, and isn't silent then.
+        A witness that refuses isn't silent for as long as it names, nor is any that
+        this node couldn't hear since it heard from no majority itself.
         """
         limit_s = now_s - self._terms.replace_witness_after_s
         return {
             witness
             for witness, since_s in self._requested_since_s.items()
-            if max(since_s, self._last_sign_s(witness)) < limit_s
+            if max(since_s, self._last_sign_s(witness), self._regained_s) < limit_s
         }
 
     def _last_sign_s(self, witness):
@@ -258,6 +260,7 @@
             return
         granting = self._lease.witness_terms(now_s)
         if self.phase == "lapsed":
+            self._regained_s = now_s
             self._regain(granting)
         elif self.phase == "acquiring":
             self._chart.fire("majority")
--- a/comfreywharf/ownership/tests/test_restarted_fleet.py
+++ b/comfreywharf/ownership/tests/test_restarted_fleet.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from comfreywharf.ownership import LeaseTerms
+from comfreywharf.ownership import LeaseTerms, OwnershipAgent
 from comfreywharf.ownership.holder import Holder, OwnLease
+from comfreywharf.ownership.messages import Denial, Grant
 from comfreywharf.ownership.tests.builders import KEYS, STEP_S, make_world
 
 LONGEST_S = 3.0
@@ -130,6 +131,40 @@
     assert holder.majority_overdue(13.1)
 
 
+def test_a_node_that_heard_from_nobody_replaces_no_witness_at_once():
+    """Guards against other witnesses for each node behind a link that was full."""
+    holder = holder_of_group()
+    grant_all(holder, 10.0, GROUP)
+    for tenth in range(101, 140):
+        holder.renewal(OwnLease(), tenth / 10, tenth / 10)
+        holder.tick(tenth / 10)
+    assert holder.phase == "lapsed"
+    assert holder.silent_witnesses(13.9 + TERMS.replace_witness_after_s)
+    after_s = 14.0 + TERMS.replace_witness_after_s
+    for half_seconds in range(28, round(2 * after_s)):
+        grant_all(holder, half_seconds / 2, GROUP[:2])
+        assert holder.silent_witnesses(half_seconds / 2) == set()
+    assert holder.silent_witnesses(after_s + 0.1) == {"c"}
+
+
+def grant_all(holder, now_s, witnesses):
+    renewal = holder.renewal(OwnLease(), now_s, now_s)
+    for witness in witnesses:
+        holder.grant_received(witness, renewal.round, 1, now_s)
+
+
+def test_a_witness_that_answers_with_a_takeover_isnt_replaced():
+    """Guards against other witnesses for each owner whose server has crashed."""
+    agent = OwnershipAgent("x", 1, TERMS, make_id=str)
+    agent.holder.use_witnesses([GROUP])
+    taken = Grant(granted=False, denial=Denial.TAKEN, retry_after_s=0.2)
+    late_s = 10.0 + 2 * TERMS.replace_witness_after_s
+    for now_s in (10.0, late_s):
+        agent.holder.renewal(OwnLease(), now_s, now_s)
+        agent.renewal_denied("a", taken, now_s)
+    assert agent.holder.silent_witnesses(late_s) == {"b", "c"}
+
+
 def test_a_witness_in_its_silence_isnt_replaced():
     """Guards against other witnesses for all nodes after all nodes restarted."""
     holder = holder_of_group()
