Play the changes of a slice's standby with a node that isn't its owner

Cause: with five nodes every node besides owner and standby is a witness, so that World.role("other") falls back to the owner, and change_standby made an owner its own standby.

Change: the worlds of test_acknowledged_fences have seven nodes.

--- a/comfreywharf/ownership/tests/test_acknowledged_fences.py
+++ b/comfreywharf/ownership/tests/test_acknowledged_fences.py
@@ -79,7 +79,7 @@
     not use the fence as soon as its record is read back: the witnesses receive the
     new lease epoch only by the next renewal, and until then grant a claim on the
     earlier one, whose takeover fence is lower."""
-    world = make_world(fenced=True)
+    world = make_world(count=7, fenced=True)
     owner = owner_of(world)
     before = fence_of(world, owner)
     only_reader(world, owner)
@@ -167,7 +167,7 @@
 
 
 def fences_around_a_change(change):
-    world = make_world(fenced=True)
+    world = make_world(count=7, fenced=True)
     owner = owner_of(world)
     only_reader(world, owner)
     world.log_up = False
@@ -281,7 +281,7 @@
 
     A record raises the fence of a slice that its owner keeps. The owner must
     send the new epoch to the witnesses before the next regular renewal is due."""
-    world = make_world(fenced=True)
+    world = make_world(count=7, fenced=True)
     owner = owner_of(world)
     while owner.agent.holder.renewal_due(owner.now_s() + 3 * STEP_S):
         world.run(STEP_S)
@@ -296,7 +296,7 @@
 @pytest.mark.parametrize("change", OTHER_CHANGES)
 def test_witnesses_learn_of_any_change_at_once_in_one_round(change):
     """Guards against a release that waits for the next regular renewal."""
-    world = make_world(fenced=True)
+    world = make_world(count=7, fenced=True)
     owner = owner_of(world)
     while owner.agent.holder.renewal_due(owner.now_s() + 3 * STEP_S):
         world.run(STEP_S)
@@ -328,7 +328,7 @@
 
     A lease restarts and is recorded. Its fences wait for a renewal with the new
     epoch, which must not wait until the next regular one."""
-    world = make_world(fenced=True)
+    world = make_world(count=7, fenced=True)
     owner = owner_of(world)
     before = fence_of(world, owner)
     restart_lease(owner)
@@ -343,7 +343,7 @@
     Two slices are merged, served, and split again at the same place. The owner is
     partitioned, so that the witnesses don't receive the new epoch. The owner must not
     continue under the fence that it last used for a slice with that start."""
-    world = make_world(fenced=True)
+    world = make_world(count=7, fenced=True)
     owner = owner_of(world)
     slice_ = slice_of(world)
     highest = -1
