End the grants of an earlier process before a slice is released

Cause, found by reading the restart in place: a new process has its lease before the grants have ended that its predecessor sent to a server which checks fences and takes all grants in one message. If the planner moved a slice away meanwhile, the process would have released it at once, since it had granted nothing itself; a request that the predecessor had forwarded could have taken effect beside the next owner's. Servers that take orders or lists were asked for such a release before, too.

Change: until the first message of this process was accepted, a release sends one, and is pending if that isn't answered.

--- a/comfreywharf/daemon/ownership/fenced_grants.py
+++ b/comfreywharf/daemon/ownership/fenced_grants.py
@@ -32,6 +32,7 @@
         self._node = node
         self._pushed = {}
         self._push_done = None
+        self._earlier_until_s = float("-inf")
 
     def refresh(self):
         """Renew all grants."""
@@ -57,13 +58,22 @@
         return True
 
     def release(self, service, start, timeout_s):
-        """Return an empty handover for a slice that moves away.
+        """Return an empty handover for a slice that moves away; ``None`` if pending.
 
         Nothing has to be released: a grant that is missing from the next message
-        ends with it.
+        ends with it. Until this process has sent one, the server may hold the slice
+        by a grant of the process before, and work that it forwarded may take effect.
         """
+        if self._checks_fences() and boottime_s() < self._earlier_until_s:
+            self.push()
+            if boottime_s() < self._earlier_until_s:
+                return None
         return ""
 
+    def earlier_process_granted(self, until_s):
+        """Register until when grants of an earlier process of this node may last."""
+        self._earlier_until_s = until_s
+
     def take_handover(self, key, handover):
         """Do nothing: these backend servers hand nothing over."""
 
@@ -108,6 +118,7 @@
             for _, slice_, fence, until_s in served
         ]
         if node.backend.grant(orjson.dumps(message)):
+            self._earlier_until_s = float("-inf")
             self._pushed = {
                 (service, slice_.start): _Pushed(fence, until_s)
                 for service, slice_, fence, until_s in served
