Let takers wait for what an ended process granted, whatever its successor does

Cause, found by reading the restart in place: a new process that gave its lease up soon after its start, or paused its requests, ended the lease at the witnesses at once. The backend server could still hold what the process before had granted it, and a taker's server was granted the same keys.

Change: a witness that lets a new process succeed an ended one keeps the end of the earlier lease, and denies claims until then.

--- a/comfreywharf/ownership/tests/test_restarted_fleet.py
+++ b/comfreywharf/ownership/tests/test_restarted_fleet.py
@@ -174,3 +174,25 @@
     after_s = TERMS.replace_witness_after_s
     assert holder.silent_witnesses(10.0 + after_s + 0.1) == {"b", "c"}
     assert holder.silent_witnesses(14.0 + after_s + 0.1) == set(GROUP)
+
+
+@pytest.mark.parametrize("run_s", [0.05, 0.1, 0.2, 0.4])
+def test_a_taker_waits_for_the_grants_of_an_ended_process(run_s):
+    """Guards against two servers that hold a key after a restart in place.
+
+    The new process gives its lease up, before or after it has had it. It knows what it
+    has granted to the server itself, and not what its predecessor has."""
+    world = make_world(count=7, fenced=True, longest_lease_ms=int(1000 * LONGEST_S))
+    owner = world.nodes[world.role("owner", KEYS[0])]
+    standby = world.role("standby", KEYS[0])
+    assert world.request(owner.node_id, KEYS[0])
+    owner.restart(predecessor_ended=True)
+    world.run(run_s)
+    owner.backend_up = False
+    now_s = owner.now_s()
+    serving = owner.agent.table.serving(owner.state, now_s)
+    ends_s = max([until_s for *_, until_s in serving], default=None)
+    owner.carry_out(owner.agent.surrender(owner.state, "lost", now_s, ends_s))
+    world.run(LONGEST_S)
+    world.run(LONGEST_S)
+    assert world.request(standby, KEYS[0])
--- a/comfreywharf/ownership/tests/test_sole_ownership.py
+++ b/comfreywharf/ownership/tests/test_sole_ownership.py
@@ -65,8 +65,10 @@
     @rule(role=roles)
     def lose_or_return_backend(self, role):
         node = self.node(role)
-        if node.frozen:
-            return
+        if not node.frozen:
+            self.lose_or_return_backend_of(node)
+
+    def lose_or_return_backend_of(self, node):
         if node.backend_up:
             node.backend_up = False
             now_s = node.now_s()
@@ -169,7 +171,7 @@
 
     @initialize()
     def begin(self):
-        self.world = make_world(fenced=True, longest_lease_ms=2000)
+        self.world = make_world(count=6, fenced=True, longest_lease_ms=3000)
 
     def last_grant_end_s(self, node):
         serving = node.agent.table.serving(node.state, node.now_s())
@@ -179,6 +181,14 @@
     def restart_in_place(self, role):
         self.node(role).restart(predecessor_ended=True)
 
+    @rule(role=roles, duration_s=st.sampled_from([0.05, 0.1, 0.4]))
+    def restart_in_place_and_lose_backend(self, role, duration_s):
+        node = self.node(role)
+        node.restart(predecessor_ended=True)
+        self.world.run(duration_s)
+        if node.backend_up:
+            self.lose_or_return_backend_of(node)
+
     @rule(duration_s=st.sampled_from([0.1, 0.7]))
     def restart_all_in_place(self, duration_s):
         for node in self.world.nodes.values():
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -50,7 +50,11 @@
 
 @attrs.define(kw_only=True)
 class _WatchedLease:
-    """One lease: its holder, or the takers of its shares."""
+    """One lease: its holder, or the takers of its shares.
+
+    ``predecessor_until_s`` is the end of the lease of a process that has ended, and
+    whose backend server may still hold what it granted. Takers wait for that as well.
+    """
 
     incarnation: int = -1
     lease_epoch: int = -1
@@ -62,6 +66,7 @@
     takers: dict[str, _Taker] = attrs.Factory(dict)
     notified_s: float = NEVER_S
     renewable_s: float = NEVER_S
+    predecessor_until_s: float = NEVER_S
 
     @property
     def was_held(self):
@@ -74,8 +79,9 @@
         A backend server that checks fences refuses a request whose grant has lapsed,
         so that no wait beyond the lease is needed.
         """
+        lease_until_s = max(self.expires_s, self.predecessor_until_s)
         return (
-            self.expires_s if checks_fences else max(self.expires_s, self.reach_until_s)
+            lease_until_s if checks_fences else max(lease_until_s, self.reach_until_s)
         )
 
     def drop_inactive(self, now_s):
@@ -142,6 +148,7 @@
             held_until_s = watched.held_until_s(view.checks_fences)
             if now_s < held_until_s and not succeeds:
                 return self._deny(Denial.HELD, held_until_s - now_s)
+            watched.predecessor_until_s = held_until_s
             watched.term = self._new_term()
         self._hold(watched, renewal, now_s)
         return Grant(granted=True, term=watched.term)
