--- a/comfreywharf/ownership/tests/test_witness_spread.py
+++ b/comfreywharf/ownership/tests/test_witness_spread.py
@@ -131,7 +131,6 @@
 def test_a_group_that_cannot_be_spread_is_left_alone():
     """Two domains allow no better group than the one that there is."""
     state = make_state("aaabbb")
-    mover = WitnessMoves("x", LeaseTerms(witnesses=5))
     for node_id in list(state.members):
         group = choose_witnesses(state, node_id, wanted=5)
         mover = WitnessMoves(node_id, LeaseTerms(witnesses=5))
