--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 check: lint
 	$(BIN)/pytest -n 6 --dist loadfile -m "not processes"
 
-# All tests. Those that start processes run sequentially: the witnesses of a node
-# depend on the order in which nodes announce themselves, and so on machine load.
+# All tests. Those that start processes run sequentially, so that the nodes of one
+# test don't take the processor from those of another.
 test: lint
 	$(BIN)/pytest -n 4 --dist loadfile -m "not processes"
 	$(BIN)/pytest -m processes
