Check at each renewal that the ended process is the last holder of the lease

Cause, found by reading the whole change again: whether the predecessor has ended was decided once, from the fold at the start. A node that starts while the log is away takes its state from a peer. If that lacked a later process of the node elsewhere, the claim stayed true after the log had been read, and a witness would have granted the lease beside that process's.

Change: the holder keeps the incarnation that ended, and says so only while its fold has it as the last one that held the lease.

Result: `test_a_process_mentions_no_predecessor_that_was_replaced_meanwhile` is new; the code before sent the claim whatever the fold said. Tests without processes of ownership, daemon, platform, records and membership pass, the two state machines among them.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -70,7 +70,7 @@
         self.ports = ports or OwnPorts(settings)
         self.incarnation = time.time_ns() // 1_000_000
         self.incarnation_chosen = Event()
-        self.predecessor_ended = False
+        self.ended_predecessor = None
         self.lifecycle = NodeLifecycle()
         self.metrics = Metrics()
         self.reporter = Reporter(settings.node_id, self.incarnation, self.metrics)
@@ -211,9 +211,9 @@
         member = self.follower.state.members.get(self.settings.node_id)
         if member is not None:
             self.incarnation = max(self.incarnation, member.incarnation + 1)
-        self.predecessor_ended = has_predecessor_ended(
-            member, self.settings.host, self.settings.peer_port
-        )
+        settings = self.settings
+        if has_predecessor_ended(member, settings.host, settings.peer_port):
+            self.ended_predecessor = member.incarnation
         self.incarnation_chosen.set()
 
     def stop(self, reason):
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -89,13 +89,13 @@
         """Return the `LostWitnesses` that tracks whether a majority answers."""
         return self._groups.lost
 
-    def set_incarnation(self, incarnation, predecessor_ended=False):
+    def set_incarnation(self, incarnation, ended_predecessor=None):
         """Set this process's incarnation, once the log is read to its end.
 
-        ``predecessor_ended`` is as in `Holder.set_incarnation`.
+        ``ended_predecessor`` is as in `Holder.set_incarnation`.
         """
         self._incarnation = incarnation
-        self.holder.set_incarnation(incarnation, predecessor_ended)
+        self.holder.set_incarnation(incarnation, ended_predecessor)
         self._groups.set_incarnation(incarnation)
 
     @property
@@ -137,6 +137,7 @@
             return OwnLease()
         return OwnLease(
             incarnation=member.incarnation,
+            lease_incarnation=member.lease_incarnation,
             lease_epoch=member.lease_epoch,
             portfolio_epoch=member.portfolio_epoch,
             witnesses=member.witnesses,
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -22,6 +22,7 @@
     """The node's lease according to its own fold."""
 
     incarnation: int = -1
+    lease_incarnation: int = -1
     lease_epoch: int = -1
     portfolio_epoch: int = -1
     witnesses: tuple[str, ...] = ()
@@ -49,7 +50,7 @@
         self._lease = QuorumLease(terms, [()])
         self._known_witness_terms = {}
         self._generation = 0
-        self._predecessor_ended = False
+        self._ended_predecessor = None
         self._was_started = False
         self._round_sent_s = float("-inf")
         self._sent_epoch = -1
@@ -62,14 +63,15 @@
         self.lease_s = terms.lease_s
         self.candidates = ()
 
-    def set_incarnation(self, incarnation, predecessor_ended=False):
+    def set_incarnation(self, incarnation, ended_predecessor=None):
         """Set the incarnation of this process, before any request is sent.
 
-        ``predecessor_ended`` says that the process that held the lease before has
-        certainly ended. It is told to the witnesses until they grant the lease.
+        ``ended_predecessor`` is the incarnation of a process of this node that has
+        certainly ended. As long as it is the last one that held the lease, the
+        witnesses are told so until they grant the lease.
         """
         self._incarnation = incarnation
-        self._predecessor_ended = predecessor_ended
+        self._ended_predecessor = ended_predecessor
 
     @property
     def phase(self):
@@ -323,7 +325,18 @@
             lease_s=lease_s,
             reach_s=max(0.0, reach_s),
             round=number,
-            predecessor_ended=self._predecessor_ended and self._generation == 0,
+            predecessor_ended=self._has_predecessor_ended(own_lease),
+        )
+
+    def _has_predecessor_ended(self, own_lease):
+        """Return whether the last holder of the lease is the process that ended.
+
+        The fold may have lacked a later one when this process started.
+        """
+        return (
+            self._generation == 0
+            and self._ended_predecessor is not None
+            and own_lease.lease_incarnation == self._ended_predecessor
         )
 
     def recover(self):
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -54,6 +54,7 @@
         ``predecessor_ended`` says that the new process knows that the one before isn't
         frozen on another machine.
         """
+        ended_predecessor = self.incarnation if predecessor_ended else None
         self.incarnation += 1
         self.state = ClusterState()
         self.agent = OwnershipAgent(
@@ -63,7 +64,7 @@
             self.world.make_id,
             fenced=self.world.fenced,
         )
-        self.agent.set_incarnation(self.incarnation, predecessor_ended)
+        self.agent.set_incarnation(self.incarnation, ended_predecessor)
         self.witness = None
         self.caught_up = False
         self.announced = False
--- a/comfreywharf/ownership/tests/test_restarted_fleet.py
+++ b/comfreywharf/ownership/tests/test_restarted_fleet.py
@@ -114,12 +114,21 @@
 def test_a_process_mentions_its_predecessor_until_it_has_had_the_lease():
     """Guards against a process that was replaced and still counts as the newest."""
     holder = holder_of_group()
-    holder.set_incarnation(2, predecessor_ended=True)
-    first = holder.renewal(OwnLease(), 10.0, 10.0)
+    holder.set_incarnation(2, ended_predecessor=1)
+    own_lease = OwnLease(incarnation=2, lease_incarnation=1)
+    first = holder.renewal(own_lease, 10.0, 10.0)
     assert first.predecessor_ended
     for witness in GROUP:
         holder.grant_received(witness, first.round, 1, 10.1)
-    assert not holder.renewal(OwnLease(), 10.2, 10.2).predecessor_ended
+    assert not holder.renewal(own_lease, 10.2, 10.2).predecessor_ended
+
+
+def test_a_process_mentions_no_predecessor_that_was_replaced_meanwhile():
+    """Guards against two owners where a start's fold lacked the last holder."""
+    holder = holder_of_group()
+    holder.set_incarnation(3, ended_predecessor=1)
+    own_lease = OwnLease(incarnation=3, lease_incarnation=2)
+    assert not holder.renewal(own_lease, 10.0, 10.0).predecessor_ended
 
 
 def test_a_node_whose_witnesses_dont_answer_pauses_its_requests():
