Name the witnesses that denied a claim, and why, in claim_over

Cause: a claim that ended told its owner only.

Change: a claim keeps each witness's last denial; E306 has them in a field.

--- a/comfreywharf/daemon/ownership/leases.py
+++ b/comfreywharf/daemon/ownership/leases.py
@@ -357,8 +357,9 @@
         now_s = boottime_s()
         owner_id, number = request.owner_id, request.round
         if not grant.granted:
-            denied = self.agent.claim_denied(owner_id, grant.denial, now_s)
-            self.carry_out(denied)
+            self.carry_out(
+                self.agent.claim_denied(owner_id, witness, grant.denial, now_s)
+            )
             return
         self.carry_out(
             self.agent.claim_granted(owner_id, witness, number, grant.term, now_s)
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -300,19 +300,18 @@
         self.rescan()
         return [report("takeover", owner=owner_id, slices=len(claim.share))]
 
-    def claim_denied(self, owner_id, denial, now_s):
-        """End a claim that is based on an older view than a witness has.
+    def claim_denied(self, owner_id, witness, denial, now_s):
+        """Register a witness's denial; end a claim on an older view than it has.
 
         When several standbys take over from one owner, the first record makes
         the others' claims outdated. If these claims were kept until they time
         out, their keys would be served up to two leases later than necessary.
         """
         claim = self.claims.get(owner_id)
-        if (
-            denial not in _OUTDATED_DENIALS
-            or claim is None
-            or claim.held_since_s is not None
-        ):
+        if claim is None:
+            return []
+        claim.denied(witness, denial)
+        if denial not in _OUTDATED_DENIALS or claim.held_since_s is not None:
             return []
         self._claim_pauses.denied(owner_id, claim.view, now_s)
         return self._end_claim(claim, now_s)
@@ -394,7 +393,8 @@
         acts_until_s = self._ended_claims.add(claim, recorded, now_s, held_until_s)
         self.rescan()
         actions = self._send_unclaim(claim, acts_until_s, now_s)
-        return [*actions, report("claim_over", owner=claim.owner_id)]
+        denied = claim.denials_text()
+        return [*actions, report("claim_over", owner=claim.owner_id, denied=denied)]
 
     def _send_unclaim(self, claim, acts_until_s, now_s):
         message = claim.message(acts_until_s, now_s, self._claim_number)
--- a/comfreywharf/ownership/claims.py
+++ b/comfreywharf/ownership/claims.py
@@ -51,7 +51,8 @@
     The share is fixed when the claim begins: a slice that a later record assigns
     to this node may still be served by another taker under the earlier view.
     A lapsed claim is never held again; a new claim uses the current epochs.
-    ``fences`` are those under which slices of the share have been served.
+    ``fences`` are those under which slices of the share have been served, ``denials``
+    each witness's last `Denial`.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.held_since_s = None
         self.over = False
         self.fences = {}
+        self.denials = {}
         self._taker_id = taker_id
         self._taker_incarnation = taker_incarnation
         self._lease_epoch = owner.lease_epoch
@@ -130,11 +132,20 @@
         if self.over:
             return False
         self.lease.grant(witness, number, term, now_s)
+        self.denials.pop(witness, None)
         if self.held_since_s is None and self.lease.held(now_s):
             self.held_since_s = now_s
             return True
         return False
 
+    def denied(self, witness, denial):
+        """Register a witness's denial."""
+        self.denials[witness] = denial
+
+    def denials_text(self):
+        """Return each witness that denied the claim, and why, for an event."""
+        return " ".join(f"{w}:{d.value}" for w, d in sorted(self.denials.items()))
+
     def tick(self, now_s):
         """Detect the end of the claim; return whether it is over."""
         if self.held_since_s is not None and not self.lease.held(now_s):
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -174,7 +174,7 @@
                 if not grant.granted:
                     self.carry_out(
                         self.agent.claim_denied(
-                            claim.owner_id, grant.denial, self.now_s()
+                            claim.owner_id, action.witness, grant.denial, self.now_s()
                         )
                     )
                     return
