Let a witness that is new grant claims without the wait for forgotten requests

Cause: files-1 starts last, and the lease of booking-2 names it as a witness at once. It is silent for a lease after its start, so that booking-2 is killed before it has renewed there (its E309 lines end 30 ms before the kill). Both standbys then need files-1 for a majority. It denies them until its start + 5 s, the longest request: it took itself for a witness that has forgotten what an earlier process granted. The claims come in tries of a lease each with pauses, so that the takeover comes 4.7 s after the loss or later, and the caller's 5 s are over in the worst case. Ruled out: two standbys that deny each other for their views (claims last a whole lease, a denial for the view ends one at once).

Change: a process whose node wasn't a member when it had read the log knows that no earlier process was a witness. For leases that were recorded since, it waits for its silent time only. Where it may have forgotten, the wait stays; after a loss of records as well.

The test fails on the code before; the state machine of sole ownership plays new nodes.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -71,6 +71,7 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.incarnation_chosen = Event()
         self.ended_predecessor = None
+        self.first_named_offset = None
         self.lifecycle = NodeLifecycle()
         self.metrics = Metrics()
         self.reporter = Reporter(settings.node_id, self.incarnation, self.metrics)
@@ -208,7 +209,11 @@
         process, and the node would never own anything again.
         """
         self.follower.caught_up.wait()
-        member = self.follower.state.members.get(self.settings.node_id)
+        state = self.follower.state
+        member = state.members.get(self.settings.node_id)
+        if member is None and not state.lineage:
+            # No earlier process of this node has been a witness.
+            self.first_named_offset = state.next_offset
         if member is not None:
             self.incarnation = max(self.incarnation, member.incarnation + 1)
         settings = self.settings
--- a/comfreywharf/daemon/ownership/leases.py
+++ b/comfreywharf/daemon/ownership/leases.py
@@ -209,7 +209,9 @@
         """Drive the agent until the greenlet is killed."""
         self._node.incarnation_chosen.wait()
         self.agent.set_incarnation(self._node.incarnation, self._node.ended_predecessor)
-        self._node.witnessing.begin(self._node.process_start_s)
+        self._node.witnessing.begin(
+            self._node.process_start_s, self._node.first_named_offset
+        )
         self._node.grants.earlier_process_granted(self._earlier_grants_end_s())
         expired_s = boottime_s()
         while True:
--- a/comfreywharf/daemon/ownership/witnessing.py
+++ b/comfreywharf/daemon/ownership/witnessing.py
@@ -56,9 +56,12 @@
         node.follower.subscribe(self._on_folded)
         node.follower.subscribe_loaded(self._members_changed)
 
-    def begin(self, now_s):
-        """Start to answer; the silent period after a restart begins at ``now_s``."""
-        self._witness = Witness(self._terms, now_s, self._node.incarnation)
+    def begin(self, now_s, first_named):
+        """Start to answer; the silent period after a restart begins at ``now_s``.
+
+        ``first_named`` is as in `Witness`.
+        """
+        self._witness = Witness(self._terms, now_s, self._node.incarnation, first_named)
         self._due.set()
 
     def run(self):
--- a/comfreywharf/daemon/tests/test_witnessing.py
+++ b/comfreywharf/daemon/tests/test_witnessing.py
@@ -39,7 +39,7 @@
     node = SimpleNamespace(follower=follower, settings=settings, incarnation=1)
     witnessing = Witnessing(node, TERMS)
     announce(follower, "a", "b", "c", "d")
-    witnessing.begin(STARTED_S)
+    witnessing.begin(STARTED_S, first_named=None)
     assert witnessing._watched_owners() == []
     record = LeaseStarted(
         record_id="lease-b",
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -82,7 +82,9 @@
             self.agent.folded(self.state, log[offset], result, self.now_s())
         if not self.caught_up and self.state.next_offset == len(log):
             self.caught_up = True
-            self.witness = Witness(TERMS, self.now_s(), self.incarnation)
+            is_new = self.node_id not in self.state.members
+            first_named = self.state.next_offset if is_new else None
+            self.witness = Witness(TERMS, self.now_s(), self.incarnation, first_named)
 
     def tick(self, forced=False):
         """Have the agent act, and the witness report lapses."""
--- a/comfreywharf/ownership/tests/test_restarted_witnesses.py
+++ b/comfreywharf/ownership/tests/test_restarted_witnesses.py
@@ -2,12 +2,13 @@
 
 import pytest
 
-from comfreywharf.ownership import LeaseTerms
+from comfreywharf.ownership import Claim, LeaseTerms, OwnerView, Witness
 from comfreywharf.ownership.quorum import QuorumLease
 from comfreywharf.ownership.tests.builders import KEYS, STEP_S, make_world
 
 TERMS = LeaseTerms(lease_s=1.0, drift=0.0)
 GROUP = ("a", "b", "c")
+LONGEST_REQUEST_S = 5.0
 
 
 def test_running_owner_keeps_its_keys_when_witnesses_restart_together():
@@ -64,3 +65,43 @@
     for witness in GROUP:
         lease.grant(witness, second, term=term, now_s=received_s)
     assert lease.held(11.1) is held
+
+
+def claim_at(first_named, now_s):
+    """Return a witness's answer to a claim on the lease that record 8 began.
+
+    The witness started at 0, and the owner has never renewed there.
+    """
+    claim = Claim(
+        owner_id="a",
+        taker_id="b",
+        taker_incarnation=1,
+        lease_epoch=8,
+        portfolio_epoch=10,
+        lease_s=TERMS.lease_s,
+        reach_s=0.0,
+        round=1,
+    )
+    view = OwnerView(
+        incarnation=1, lease_epoch=8, lease_incarnation=1, portfolio_epoch=10
+    )
+    witness = Witness(TERMS, 0.0, 1, first_named)
+    return witness.claim(claim, view, LONGEST_REQUEST_S, now_s)
+
+
+def test_a_new_witness_doesnt_wait_for_requests_that_it_never_granted():
+    """Guards against a takeover that waits for the longest request, five seconds.
+
+    An owner is lost before it has renewed with a node that has just been added and that
+    its record names as a witness."""
+    after_s = TERMS.silent_until_s(0.0) + 0.01
+    assert after_s < LONGEST_REQUEST_S
+    assert claim_at(first_named=5, now_s=after_s).granted
+    assert not claim_at(first_named=5, now_s=TERMS.silent_until_s(0.0) - 0.01).granted
+
+
+@pytest.mark.parametrize("first_named", [9, None])
+def test_a_restarted_witness_waits_for_requests_that_it_may_have_granted(first_named):
+    """The record may name an earlier process of the witness, which was told of them."""
+    assert not claim_at(first_named, LONGEST_REQUEST_S - 0.01).granted
+    assert claim_at(first_named, LONGEST_REQUEST_S + 0.01).granted
--- a/comfreywharf/ownership/witness.py
+++ b/comfreywharf/ownership/witness.py
@@ -96,11 +96,15 @@
 
     ``start_number`` differs with each start of the process. ``longest_request_s``
     is the longest time to a deadline that any owner may have outstanding.
+
+    No earlier process of this node was named as a witness by a record from offset
+    ``first_named`` on; ``None`` means that an earlier process may be named by any.
     """
 
-    def __init__(self, terms, started_s, start_number):
+    def __init__(self, terms, started_s, start_number, first_named=None):
         self._terms = terms
         self._started_s = started_s
+        self._first_named = first_named
         self._next_term = start_number * TERMS_PER_START
         self._watched = {}
         self.silent_until_s = terms.silent_until_s(started_s)
@@ -120,7 +124,7 @@
         wait_s = self._wait_s(
             renewal.owner_id,
             0.0 if succeeds else view.longest_lease_s,
-            awaits_requests,
+            awaits_requests and self._may_have_forgotten(view),
             longest_request_s,
             now_s,
         )
@@ -165,7 +169,7 @@
 
     def claim(self, claim, view, longest_request_s, now_s):
         """Answer a standby's claim on a share of a lapsed lease."""
-        awaits_requests = not view.checks_fences
+        awaits_requests = not view.checks_fences and self._may_have_forgotten(view)
         wait_s = self._wait_s(
             claim.owner_id,
             view.longest_lease_s,
@@ -209,7 +213,8 @@
         owner has renewed with it. ``awaits_requests`` says that a new process or a
         taker begins to act in the owner's place, and that requests which were
         forwarded earlier may outlast their grants; it has to wait for the longest
-        possible deadline.
+        possible deadline. A witness that is new needn't wait: each deadline was
+        acknowledged by a majority of the others.
         """
         until_s = self._terms.silent_until_s(self._started_s, longest_lease_s)
         watched = self._watched.get(owner_id)
@@ -217,6 +222,10 @@
             until_s = max(until_s, self._started_s + longest_request_s)
         return until_s - now_s
 
+    def _may_have_forgotten(self, view):
+        """Return whether an earlier process here may have granted an owner's lease."""
+        return self._first_named is None or view.lease_epoch < self._first_named
+
     def _claim_denial(self, watched, claim, view):
         if claim.lease_epoch < max(view.lease_epoch, watched.lease_epoch):
             return Denial.STALE
