--- a/comfreywharf/daemon/ownership/load_reports.py
+++ b/comfreywharf/daemon/ownership/load_reports.py
@@ -27,14 +27,16 @@
     """Count this node's requests by slice and report their rates.
 
     ``hot_keys()`` returns ``(service, key_hash, requests_per_s)`` of the keys that
-    are hot on this node, ``busy_fraction()`` the fraction of slots in use, and
-    ``service_ms()`` the time that a request takes. `Node` sets all three functions.
+    are hot on this node, ``busy_fraction()`` the fraction of slots in use,
+    ``service_ms()`` the time that a request takes, and ``cold_requests_per_s()`` what
+    the backend server bears while it is cold. `Node` sets these functions.
     """
 
     def __init__(self, node):
         self.hot_keys = tuple
         self.busy_fraction = float
         self.service_ms = float
+        self.cold_requests_per_s = lambda: None
         self._node = node
         self._node_id = node.settings.node_id
         self._meter = SliceMeter(node.ports.placement.smoothing_s)
@@ -94,6 +96,7 @@
             backend_up=self._node.backend is not None,
             lease_held=self._node.leases.holds_lease(),
             service_ms=self.service_ms(),
+            cold_requests_per_s=self.cold_requests_per_s(),
         )
 
     def _slice_rates(self, everything):
@@ -146,6 +149,7 @@
         lease_held=report.lease_held,
         event_clock=0,
         service_ms=report.service_ms,
+        cold_requests_per_s=report.cold_requests_per_s,
     )
 
 
@@ -174,4 +178,5 @@
         backend_up=message.backend_up,
         lease_held=message.lease_held,
         service_ms=message.service_ms,
+        cold_requests_per_s=message.cold_requests_per_s,
     )
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -93,6 +93,10 @@
         """Return the `ConcurrencyLimit` of a backend server that has just started."""
         return ConcurrencyLimit(slots)
 
+    def cold_terms(self, service):
+        """Return the `ColdTerms` of a `RoutedService`; ``None`` if it states none."""
+        return None
+
     def make_queue(self):
         """Return the `RequestQueue` in which requests wait for a slot."""
         return FairQueue()
--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -29,6 +29,9 @@
 TICK_S = 0.05
 """Interval at which the deadlines of waiting requests are checked."""
 
+MIN_TICK_S = 0.002
+"""Shortest interval between two checks while a cold server bounds its requests."""
+
 
 class Slot:
     """One request in admission, and afterwards at the backend server.
@@ -53,6 +56,11 @@
             # available once the body is being sent.
             self._fingerprint = request_fingerprint(request, body)
 
+    def record_sent(self, now_s):
+        """Record that the request is sent to the backend server now."""
+        if self.admission is not None:
+            self.admission.record_sent(self, now_s)
+
     @property
     def fingerprint(self):
         """Return the request's fingerprint, computed on first use."""
@@ -98,6 +106,10 @@
         if not self._ticker:
             self._ticker = gevent.spawn(self._tick)
 
+    def record_sent(self, slot, now_s):
+        """Count a request that is sent to the server now."""
+        self.state.cold.record_sent(slot.ticket, now_s)
+
     def finish(self, slot):
         """Release the slot."""
         event = Finished(slot.ticket, slot.result)
@@ -118,9 +130,16 @@
 
     def _tick(self):
         while self._waiting:
-            gevent.sleep(TICK_S)
+            gevent.sleep(self._tick_s(boottime_s()))
             self._apply(decide(self.state, TimePassed(), boottime_s()))
 
+    def _tick_s(self, now_s):
+        """Return how long to sleep: until a cold server takes its next request."""
+        opens_in_s = self.state.cold.wait_s(1, now_s)
+        if not opens_in_s:
+            return TICK_S
+        return min(max(opens_in_s, MIN_TICK_S), TICK_S)
+
     def _apply(self, actions):
         for action in actions:
             if isinstance(action, Begin):
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -1,5 +1,7 @@
 """The owner's side: forward a request to the backend server beside this node."""
 
+import math
+
 import gevent
 from geventhttpclient.response import HTTPParseError
 
@@ -77,6 +79,14 @@
 
         ``body`` is bytes or an iterator of bytes.
         """
+        served = self._serve(request, body, now_s)
+        if not request.key:
+            # Other nodes choose among the servers by what their replies tell.
+            cold_left_s = self._node.load.cold.cold_left_s(boottime_s())
+            served.reply.cold_ms = math.ceil(cold_left_s * 1000) or None
+        return served
+
+    def _serve(self, request, body, now_s):
         deadline_s = now_s + request.remaining_ms / 1000
         if not self._node.accepts_requests:
             reason = Reason.NOT_YET_OWNER if request.key else Reason.DRAINING
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -18,6 +18,7 @@
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import HotKeys, Standing
 from comfreywharf.load.admission import AdmissionState, Result
+from comfreywharf.load.coldstart import ColdLimit
 from comfreywharf.records import ServiceConfig
 from comfreywharf.routing import SAFE_METHODS, Reason
 from comfreywharf.transport.gen.ttypes import Header
@@ -41,7 +42,14 @@
 """Set by an ingress node on a request that has to run alone. Callers can't set it,
 since their headers with this prefix are dropped."""
 
-_SHED_REASONS = frozenset({Reason.OVERLOADED.value, Reason.DEADLINE_BEFORE_START.value})
+_SHED_REASONS = frozenset(
+    reason.value
+    for reason in (
+        Reason.OVERLOADED,
+        Reason.BACKEND_COLD,
+        Reason.DEADLINE_BEFORE_START,
+    )
+)
 _LOST_REASONS = frozenset({Reason.BACKEND_LOST, Reason.ANSWER_CUT})
 
 
@@ -57,6 +65,7 @@
         self._node = node
         self._random = random.Random(f"load {node.settings.node_id} {node.incarnation}")
         self._admission = None
+        self.cold = ColdLimit(began_s=node.process_start_s)
         window_s = node.ports.placement.hot_window_s
         self._hot = HotKeys(boottime_s(), window_s)
         self._shed_count = 0
@@ -76,6 +85,22 @@
         """Refuse the requests that wait for an instance that is gone."""
         self._begin_admission()
 
+    def record_cold(self, service, remaining_s):
+        """Record for how long the backend server reports that it stays cold."""
+        now_s = boottime_s()
+        was_cold = self.cold.is_cold(now_s)
+        self.cold.terms = self._node.ports.cold_terms(
+            self._node.routes.table.service(service)
+        )
+        self.cold.set_cold(remaining_s, now_s)
+        if self.cold.is_cold(now_s) and not was_cold:
+            self._node.report(
+                "backend_cold",
+                service=service,
+                remaining_ms=int(remaining_s * 1000),
+                requests_per_s=self.cold.terms.requests_per_s,
+            )
+
     def _begin_admission(self):
         if self._admission is not None:
             self._admission.close()
@@ -90,6 +115,7 @@
                 limit,
                 length,
                 self._random,
+                cold=self.cold,
                 queue=queue,
                 retry_after=self._node.ports.retry_after,
             )
@@ -289,6 +315,12 @@
         """Return the `AdmissionState` of the current backend server, or ``None``."""
         return self._admission.state if self._admission else None
 
+    def cold_requests_per_s(self):
+        """Return what the server bears for long while it is cold; ``None`` if warm."""
+        if not self.cold.is_cold(boottime_s()):
+            return None
+        return self.cold.terms.sustained_per_s
+
     def service_ms(self):
         """Return a request's mean time at the backend server; 0 if unknown."""
         return self._admission.state.times.mean_s * 1000 if self._admission else 0.0
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -9,6 +9,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.load import Absences, Ejector, MemberLoad
+from comfreywharf.load.choice import warm_or_cold
 from comfreywharf.routing import Outcome, Reason
 
 __all__ = ["Members", "SentRequest"]
@@ -20,6 +21,9 @@
 _ABSENT = frozenset({Reason.NO_BACKEND, Reason.PEER_UNREACHABLE, Reason.DRAINING})
 """Refusals that show that a member or its backend server is absent."""
 
+_NO_ROOM = frozenset({Reason.BACKEND_COLD.value})
+"""Refusals for lack of room at the backend server."""
+
 _FAILURES = frozenset(
     {
         Reason.REFUSED_BY_BACKEND,
@@ -45,7 +49,8 @@
 class _ServiceMembers:
     """The members of one service, with this node's measurements.
 
-    ``present`` are those that accept new work, as of ``listed_s``.
+    ``present`` are those that accept new work, as of ``listed_s``. ``cold_terms`` are
+    the `ColdTerms` of the service, if it states any.
     """
 
     def __init__(self, chooser):
@@ -55,6 +60,7 @@
         self.ejector = Ejector()
         self.absences = Absences()
         self.chooser = chooser
+        self.cold_terms = None
 
 
 class Members:
@@ -76,6 +82,9 @@
         if not present:
             return ""
         usable = group.ejector.usable(present, now_s, idempotent)
+        if group.cold_terms is not None:
+            cold_per_s = group.cold_terms.sustained_per_s
+            usable = warm_or_cold(usable, cold_per_s, now_s, self._random)
         return group.chooser.choose(usable, self._random).node_id
 
     def designated(self, service, fingerprint):
@@ -106,9 +115,10 @@
             return
         group = self._services[sent.service]
         self._update_absences(group, sent, reply)
+        _update_cold(sent.member, reply)
         failed = _failed(reply)
         if failed is None:
-            if reply is not None and reply.reason == Reason.OVERLOADED:
+            if reply is not None and reply.reason in _NO_ROOM:
                 sent.member.finish_refused()
             else:
                 sent.member.drop()
@@ -157,10 +167,13 @@
             )
         if now_s - group.listed_s > LIST_AGE_S:
             group.listed_s = now_s
-            self._list_members(service, group)
+            self._list_members(service, group, now_s)
         return group
 
-    def _list_members(self, service, group):
+    def _list_members(self, service, group, now_s):
+        routed = self._node.routes.table.service(service)
+        group.cold_terms = self._node.ports.cold_terms(routed)
+        cold_start_s = routed.cold_start_s if group.cold_terms and group.members else 0
         all_members = self._node.follower.state.members.values()
         latest = _latest_at_address(all_members)
         entries = [
@@ -174,6 +187,8 @@
             member = group.members.get(entry.node_id) or MemberLoad(entry.node_id)
             if member.announced_offset != entry.announced_offset:
                 member.reset_measurements(entry.announced_offset)
+                member.cold_until_s = now_s + cold_start_s
+            member.slots = entry.slots
             member.near = entry.failure_domain == own_domain
             members[entry.node_id] = member
         group.members = members
@@ -199,6 +214,19 @@
     return latest
 
 
+def _update_cold(member, reply):
+    """Update for how long a member is cold, as its node tells in each reply.
+
+    A refusal without that may be this node's own, after a call that failed.
+    """
+    if reply is None:
+        return
+    if reply.cold_ms:
+        member.cold_until_s = boottime_s() + reply.cold_ms / 1000
+    elif not reply.reason:
+        member.cold_until_s = float("-inf")
+
+
 def _failed(reply):
     """Return whether a reply is a failure of its member; ``None`` if it isn't known."""
     if reply is None:
--- a/comfreywharf/daemon/requests/running.py
+++ b/comfreywharf/daemon/requests/running.py
@@ -38,6 +38,11 @@
         self.cancelled = False
         self.abort = None
 
+    def record_sent(self, now_s):
+        """Record that the request is sent to the backend server now."""
+        if self.slot is not None:
+            self.slot.record_sent(now_s)
+
     def cancel(self):
         """Interrupt the wait for the answer, which is no longer needed."""
         self.cancelled = True
--- a/comfreywharf/daemon/servers/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -109,10 +109,12 @@
             raise BackendError(Reason.DEADLINE_BEFORE_START, message) from error
         except (OSError, RuntimeError) as error:
             raise BackendError(Reason.NO_BACKEND, str(error)) from error
-        reason = _reason_not_to_send(running, boottime_s())
+        now_s = boottime_s()
+        reason = _reason_not_to_send(running, now_s)
         if reason is not None:
             self._client.give_back(sock)
             raise BackendError(reason, "the request was not sent: nobody waits for it")
+        running.record_sent(now_s)
         return sock
 
     def _send(self, sock, request, header_lines, body, running):
--- a/comfreywharf/daemon/servers/backend_lifecycle.py
+++ b/comfreywharf/daemon/servers/backend_lifecycle.py
@@ -30,22 +30,24 @@
         self._announcement = None
         self._verifying = set()
 
-    def receive_heartbeat(self, announcement, sequence, leaving):
+    def receive_heartbeat(self, announcement, sequence, leaving, cold_s=0.0):
         """Process a heartbeat; return whether it is current and its sender is in use.
 
+        The server stays cold for ``cold_s``.
+
         A heartbeat of an earlier incarnation, or one that a newer heartbeat has
         overtaken, doesn't show which keys the current incarnation holds. The reply to
         it must not grant any.
         """
         incarnation = announcement.incarnation
-        kind = self._instances.receive_heartbeat(
-            incarnation, sequence, leaving, boottime_s()
-        )
+        now_s = boottime_s()
+        cold_until_s = now_s + cold_s
+        kind = self._instances.receive_heartbeat(incarnation, sequence, leaving, now_s)
         if kind is HeartbeatKind.FIRST:
             self._start_using(announcement)
             if leaving:
                 kind = self._instances.record_leaving(incarnation)
-            gevent.spawn(self._verify, announcement, sequence)
+            gevent.spawn(self._verify, announcement, sequence, cold_until_s)
         elif kind is HeartbeatKind.RIVAL and self._instances.current.started_before(
             incarnation
         ):
@@ -56,10 +58,10 @@
             if leaving:
                 kind = self._instances.record_leaving(incarnation)
         elif kind is HeartbeatKind.RIVAL:
-            gevent.spawn(self._verify, announcement, sequence)
+            gevent.spawn(self._verify, announcement, sequence, cold_until_s)
         elif kind is HeartbeatKind.SAME and self._node.backend is None:
             self._node.record_heartbeat()
-            gevent.spawn(self._verify, announcement, sequence)
+            gevent.spawn(self._verify, announcement, sequence, cold_until_s)
         elif kind is HeartbeatKind.SAME:
             self._node.backend_announced(self._announcement)
         if kind is HeartbeatKind.LEAVES:
@@ -67,6 +69,8 @@
         is_current = (
             self._instances.current == incarnation and kind is not HeartbeatKind.STALE
         )
+        if is_current:
+            self._record_cold(announcement, cold_until_s)
         return is_current and self._node.backend is not None
 
     def receive_deregistration(self, incarnation):
@@ -83,7 +87,11 @@
         self._node.backend_announced(announcement)
         gevent.spawn(self._record_return)
 
-    def _verify(self, announcement, sequence):
+    def _record_cold(self, announcement, cold_until_s):
+        remaining_s = max(0.0, cold_until_s - boottime_s())
+        self._node.load.record_cold(announcement.service, remaining_s)
+
+    def _verify(self, announcement, sequence, cold_until_s):
         """Query the instance id at the server's address before replacing another one.
 
         Incarnations with the same id give the same answer; only the start time
@@ -99,6 +107,7 @@
             self._verifying.discard(incarnation)
         if incarnation.has_id(found):
             if self._instances.current != incarnation:
+                self._record_cold(announcement, cold_until_s)
                 self._instances.set_current(incarnation, sequence, boottime_s())
                 self._start_using(announcement)
             elif self._node.backend is None and not self._instances.leaving:
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -4,20 +4,32 @@
 
 import attrs
 
+from comfreywharf.daemon.requests import members as members_module
 from comfreywharf.daemon.requests.members import Members
+from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import TwoChoices
+from comfreywharf.load.coldstart import ColdTerms
 from comfreywharf.records.tests.builders import make_member
+from comfreywharf.routes import RoutedService, RouteTable
+from comfreywharf.routing import Reason
 
+COLD_TERMS = ColdTerms(requests_per_s=4.0)
+COLD_START_S = 3.0
 
-def make_members(*entries):
+
+def make_members(*entries, cold_terms=None):
     """Return the `Members` of a node that has folded these entries."""
     state = SimpleNamespace(members={entry.node_id: entry for entry in entries})
+    service = RoutedService(name="files", cold_start_s=COLD_START_S)
     return Members(
         SimpleNamespace(
             settings=SimpleNamespace(node_id="me", failure_domain="z"),
             incarnation=1,
             follower=SimpleNamespace(state=state),
-            ports=SimpleNamespace(make_chooser=TwoChoices),
+            routes=SimpleNamespace(table=RouteTable(services=(service,))),
+            ports=SimpleNamespace(
+                make_chooser=TwoChoices, cold_terms=lambda service: cold_terms
+            ),
         )
     )
 
@@ -45,3 +57,35 @@
     )
     assert {members.choose("files") for _ in range(20)} == {"well"}
     assert members.designated("files", "suspect") == "well"
+
+
+def chosen_fraction(members, node_id, count=2000):
+    """Return how often a member is chosen, of ``count`` times."""
+    return sum(members.choose("files") == node_id for _ in range(count)) / count
+
+
+def test_a_server_that_its_node_reports_as_cold_is_chosen_for_what_it_bears():
+    """Guards against a cold server that gets as many requests as a warm one."""
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("abc")]
+    members = make_members(*entries, cold_terms=COLD_TERMS)
+    members.choose("files")
+    reply = refusal(Reason.BACKEND_COLD)
+    reply.cold_ms = 60_000
+    members.record_outcome(members.record_sent("files", "a"), reply)
+    # Two warm servers with one slot of 0.1 s each bear 20 requests a second.
+    assert 0.1 < chosen_fraction(members, "a") < 0.25
+
+
+def test_a_server_that_joins_is_taken_for_cold_before_its_first_answer(monkeypatch):
+    """Guards against a first request of each node to a server that has just joined."""
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("bc")]
+    members = make_members(*entries, cold_terms=COLD_TERMS)
+    members.choose("files")
+    joined = entry("a", "files", "10.0.0.9", 9)
+    members._node.follower.state.members["a"] = joined
+    now_s = members_module.boottime_s() + members_module.LIST_AGE_S + 0.01
+    monkeypatch.setattr(members_module, "boottime_s", lambda: now_s)
+    assert chosen_fraction(members, "a") < 0.25
+    later_s = now_s + COLD_START_S + 0.01
+    monkeypatch.setattr(members_module, "boottime_s", lambda: later_s)
+    assert chosen_fraction(members, "a") > 0.25
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from comfreywharf.load.coldstart import ColdLimit
 from comfreywharf.load.estimates import ServiceTimes
 from comfreywharf.load.fairqueue import FairQueue, RequestQueue, Ticket
 from comfreywharf.load.limits import ConcurrencyLimit
@@ -132,17 +133,19 @@
 class AdmissionState:
     """State of one backend server and of the requests that wait for it.
 
-    ``times`` are the service times of all requests, ``kind_times`` those of each
-    kind. ``shed_fraction`` is the moving fraction of refused requests,
-    ``rank_shares`` the moving shares of the ranks in the started ones. The server
-    has been drained for a suspect since ``suspect_drain_since_s``; no further
-    suspect is started before ``suspect_not_before_s``. Benchmarks and tests set
-    ``fair`` or ``by_deadline`` to false to show the effect of the mechanism.
+    ``cold`` bounds the requests while the server is cold. ``times`` are the service
+    times of all requests, ``kind_times`` those of each kind. ``shed_fraction`` is the
+    moving fraction of refused requests, ``rank_shares`` the moving shares of the ranks
+    in the started ones. The server has been drained for a suspect since
+    ``suspect_drain_since_s``; no further suspect is started before
+    ``suspect_not_before_s``. Benchmarks and tests set ``fair`` or ``by_deadline`` to
+    false to show the effect of the mechanism.
     """
 
     limit: ConcurrencyLimit
     queue_length: int
     rng: random.Random
+    cold: ColdLimit = attrs.Factory(lambda: ColdLimit(began_s=float("-inf")))
     times: ServiceTimes = attrs.Factory(ServiceTimes)
     kind_times: dict[object, ServiceTimes] = attrs.Factory(dict)
     queue: RequestQueue = attrs.Factory(FairQueue)
@@ -170,6 +173,11 @@
         """
         return self.kind_times.get(kind, self.times).typical_s(now_s)
 
+    def wait_s(self, ahead, now_s):
+        """Return how long a request waits behind ``ahead`` others, in seconds."""
+        slots_wait_s = self.times.wait_s(ahead, self.limit.max_in_flight(), now_s)
+        return max(slots_wait_s, self.cold.wait_s(ahead, now_s))
+
     @property
     def waiting(self):
         """Return how many requests wait."""
@@ -206,12 +214,12 @@
 
     ``ahead`` is the number of earlier requests that wait to send their bodies.
     """
-    sent_s = now_s + state.times.wait_s(ahead, state.limit.max_in_flight(), now_s)
-    if not ahead and not state.queue and _slot_available(state):
+    sent_s = now_s + state.wait_s(ahead, now_s)
+    if not ahead and not state.queue and _slot_available(state, now_s):
         served = not _misses_deadline(state, ticket, sent_s)
     else:
         served = _meets_deadline_queued(state, ticket, sent_s)
-    return None if served else _shed(state, ticket, Reason.OVERLOADED, now_s)
+    return None if served else _shed_for_lack_of_room(state, ticket, now_s)
 
 
 def _arrive(state, ticket, now_s):
@@ -220,7 +228,7 @@
     if ticket.alone:
         return _arrive_suspect(state, ticket, now_s)
     if (
-        _slot_available(state)
+        _slot_available(state, now_s)
         and not state.queue
         and not _is_flow_at_limit(state, ticket.flow)
     ):
@@ -228,12 +236,12 @@
             return [_shed(state, ticket, Reason.DEADLINE_BEFORE_START, now_s)]
         return [_begin(state, ticket, now_s)]
     if not _meets_deadline_queued(state, ticket, now_s):
-        return [_shed(state, ticket, Reason.OVERLOADED, now_s)]
+        return [_shed_for_lack_of_room(state, ticket, now_s)]
     state.queue.push(ticket)
     actions = []
     if len(state.queue) > state.queue_length:
         evicted = state.queue.evict()
-        actions.append(_shed(state, evicted, Reason.OVERLOADED, now_s))
+        actions.append(_shed_for_lack_of_room(state, evicted, now_s))
     return actions + _begin_next(state, now_s)
 
 
@@ -245,11 +253,13 @@
     return _begin_next(state, now_s)
 
 
-def _slot_available(state):
+def _slot_available(state, now_s):
     """Return whether a slot is available for a request that needn't run alone."""
     if state.suspect_running or state.suspect_drain_since_s is not None:
         return False
-    return len(state.in_flight) < state.limit.max_in_flight()
+    if len(state.in_flight) >= state.limit.max_in_flight():
+        return False
+    return state.cold.is_open(now_s)
 
 
 def _is_flow_at_limit(state, flow):
@@ -292,7 +302,7 @@
 def _completion_s(state, ticket, now_s):
     """Return the estimated completion time of a request that starts to wait now."""
     ahead = state.queue.ahead_of(ticket) + 1
-    wait_s = state.times.wait_s(ahead, state.limit.max_in_flight(), now_s)
+    wait_s = state.wait_s(ahead, now_s)
     # More urgent requests that arrive later still run before this one.
     wait_s /= max(1 - state.more_urgent_share(ticket.effective_rank), MIN_SLOT_SHARE)
     return now_s + wait_s + state.typical_s(ticket.kind, now_s)
@@ -300,7 +310,7 @@
 
 def _begin_next(state, now_s):
     actions = _begin_suspect(state, now_s)
-    while state.queue and _slot_available(state):
+    while state.queue and _slot_available(state, now_s):
         ticket = state.queue.pop(skip=_flows_at_limit(state))
         if ticket is None:
             break
@@ -314,7 +324,7 @@
             if _meets_deadline_queued(state, ticket, now_s):
                 state.queue.push(ticket)
             else:
-                actions.append(_shed(state, ticket, Reason.OVERLOADED, now_s))
+                actions.append(_shed_for_lack_of_room(state, ticket, now_s))
         else:
             actions.append(_begin(state, ticket, now_s))
     return actions
@@ -341,7 +351,7 @@
     """
     if not state.waiting_suspects or now_s < state.suspect_not_before_s:
         return []
-    if not state.in_flight:
+    if not state.in_flight and state.cold.is_open(now_s):
         state.suspect_drain_since_s = None
         ticket = state.waiting_suspects.pop(0)
         if _misses_deadline(state, ticket, now_s):
@@ -368,6 +378,7 @@
 def _begin(state, ticket, now_s):
     ticket.started_s = now_s
     state.in_flight.add(ticket)
+    state.cold.take(ticket, now_s)
     flows = state.flows_in_flight
     flows[ticket.flow] = flows.get(ticket.flow, 0) + 1
     state.shed_fraction *= 1 - SHED_WEIGHT
@@ -380,6 +391,7 @@
 
 def _finish(state, ticket, result, now_s):
     state.in_flight.remove(ticket)
+    state.cold.end(ticket)
     flows = state.flows_in_flight
     flows[ticket.flow] -= 1
     if not flows[ticket.flow]:
@@ -424,6 +436,12 @@
     return [_shed(state, ticket, reason, now_s) for ticket in to_shed]
 
 
+def _shed_for_lack_of_room(state, ticket, now_s):
+    is_cold = state.cold.is_cold(now_s)
+    reason = Reason.BACKEND_COLD if is_cold else Reason.OVERLOADED
+    return _shed(state, ticket, reason, now_s)
+
+
 def _shed(state, ticket, reason, now_s):
     state.shed_fraction += SHED_WEIGHT * (1 - state.shed_fraction)
     return Shed(ticket, reason, _retry_after_s(state, now_s))
@@ -435,7 +453,7 @@
     It has jitter, since callers that retry all at once, or sooner than the backend
     server can serve them, prolong an overload after its cause has gone.
     """
-    drain_s = state.times.wait_s(state.waiting, state.limit.max_in_flight(), now_s)
+    drain_s = state.wait_s(state.waiting, now_s)
     min_s, max_s = state.retry_after.min_s, state.retry_after.max_s
     served = max(1 - state.shed_fraction, min_s / max_s)
     wanted_s = min(max(min_s, drain_s) / served, max_s)
--- a/comfreywharf/load/choice.py
+++ b/comfreywharf/load/choice.py
@@ -9,6 +9,7 @@
     "NearFirst",
     "RoundRobin",
     "TwoChoices",
+    "warm_or_cold",
 ]
 
 NEAR_COST_RATIO = 3.0
@@ -20,6 +21,23 @@
 """Fraction refused or failed from which on a near server isn't preferred."""
 
 
+def warm_or_cold(members, cold_per_s, now_s, rng):
+    """Return the warm ones of some members or, at times, the cold ones.
+
+    A cold server bears ``cold_per_s`` requests per second. The cold ones are drawn as
+    often as their part of what all members bear together, so that they get what they
+    bear whatever the number of senders, and no more has to be refused.
+    """
+    cold = [member for member in members if member.is_cold(now_s)]
+    if not cold or len(cold) == len(members):
+        return members
+    warm = [member for member in members if not member.is_cold(now_s)]
+    cold_capacity_per_s = cold_per_s * len(cold)
+    warm_capacity_per_s = sum(member.capacity_per_s for member in warm)
+    cold_part = cold_capacity_per_s / (cold_capacity_per_s + warm_capacity_per_s)
+    return cold if rng.random() < cold_part else warm
+
+
 class Chooser(ABC):
     """Choose among backend servers, from this node's own measurements."""
 
--- a/comfreywharf/load/members.py
+++ b/comfreywharf/load/members.py
@@ -15,6 +15,9 @@
 REFUSAL_WEIGHT = 0.1
 """Weight of the newest outcome in the fraction refused for lack of slots."""
 
+UNKNOWN_LATENCY_S = 0.1
+"""Latency that is assumed of a server without answers, to estimate what it bears."""
+
 ANSWERS_UNTIL_WARM = 50
 """Answers through one node after which a server gets its full share of requests."""
 
@@ -27,7 +30,8 @@
     own health and load isn't used: reports lag, and a server that fails every
     request may report that it is healthy and idle. ``announced_offset`` identifies
     a start of the server; after each start it is cold. ``near`` is true if the
-    server is in this node's failure domain.
+    server is in this node's failure domain. The node beside the server may report that
+    its requests are bounded until ``cold_until_s``.
     """
 
     node_id: str
@@ -39,6 +43,17 @@
     samples: int = 0
     near: bool = False
     refused_fraction: float = 0.0
+    slots: int = 1
+    cold_until_s: float = float("-inf")
+
+    def is_cold(self, now_s):
+        """Return whether the server's requests are bounded, as it is cold."""
+        return now_s < self.cold_until_s
+
+    @property
+    def capacity_per_s(self):
+        """Return about how many requests per second the server bears once warm."""
+        return max(1, self.slots) / (self.mean_latency_s or UNKNOWN_LATENCY_S)
 
     @property
     def weight(self):
--- a/comfreywharf/placement/loads.py
+++ b/comfreywharf/placement/loads.py
@@ -96,7 +96,11 @@
 
 @attrs.frozen(kw_only=True)
 class NodeReport:
-    """One node's load report; ``slices`` holds only rates that changed."""
+    """One node's load report; ``slices`` holds only rates that changed.
+
+    ``cold_requests_per_s`` is what the backend server bears while it is cold; ``None``
+    means that it is warm.
+    """
 
     node_id: str
     incarnation: int
@@ -106,6 +110,7 @@
     backend_up: bool = True
     lease_held: bool = True
     service_ms: float = 0.0
+    cold_requests_per_s: float | None = None
 
     @property
     def can_serve(self):
@@ -125,6 +130,7 @@
     warm_from_s: float
     busy_fraction: float
     service_ms: float = 0.0
+    cold_requests_per_s: float | None = None
     taken_over_s: float | None = None
 
 
@@ -193,6 +199,7 @@
             warm_from_s=warm_from_s,
             busy_fraction=report.busy_fraction,
             service_ms=report.service_ms,
+            cold_requests_per_s=report.cold_requests_per_s,
         )
 
     def _record_hot_key(self, entry, now_s):
@@ -261,6 +268,11 @@
         node = self._nodes.get(node_id)
         return node.service_ms if node else 0.0
 
+    def cold_requests_per_s(self, node_id):
+        """Return what a node's server bears while it is cold; ``None`` if warm."""
+        node = self._nodes.get(node_id)
+        return node.cold_requests_per_s if node else None
+
     def hot_keys(self, service, now_s):
         """Return ``{key_hash: requests_per_s}`` of the recently reported hot keys."""
         seen = self._hot.get(service, {})
--- a/comfreywharf/placement/tests/builders.py
+++ b/comfreywharf/placement/tests/builders.py
@@ -34,6 +34,7 @@
     def __init__(self, nodes=0, tuning=None, **service_fields):
         self.now_s = 0.0
         self.service_ms = 0.0
+        self.cold_requests_per_s = {}
         self.state = ClusterState()
         self.planning = PlanningState.begin(
             self.now_s, tuning=tuning or PlacementTuning()
@@ -123,6 +124,7 @@
                     if rates and start in rates
                 ),
                 service_ms=self.service_ms,
+                cold_requests_per_s=self.cold_requests_per_s.get(node_id),
             )
             planning.decide(self.planning, LoadReported(report=report), self.now_s)
 
--- a/comfreywharf/placement/tests/test_planning.py
+++ b/comfreywharf/placement/tests/test_planning.py
@@ -326,3 +326,27 @@
     """
     cluster = PlannedCluster(nodes=4, slices=40)
     assert is_rebalanced(cluster, rate_per_slice, load_factor=3.0, rounds=20) is moves
+
+
+def load_of(cluster, node_id, rate_per_slice):
+    """Return the requests per second for the slices that a node owns."""
+    owned = sum(slice_.owner == node_id for slice_ in cluster.slices)
+    return owned * rate_per_slice
+
+
+def test_a_cold_server_gets_no_more_keys_than_it_can_serve():
+    """Guards against a server that joins, crashes under its share, and joins again.
+
+    It gets its full share once it is warm.
+    """
+    rate_per_slice, bears_per_s = 2.0, 8.0
+    tuning = PlacementTuning(warm_up_s=3.0, cheap_moves=True, scale_by_speed=True)
+    cluster = PlannedCluster(nodes=4, tuning=tuning, slices=40)
+    cluster.service_ms = 300.0
+    rates = {slice_.start: rate_per_slice for slice_ in cluster.slices}
+    cluster.cold_requests_per_s["node-0"] = bears_per_s
+    cluster.run_rounds(rounds=8, rates=rates)
+    assert 0 < load_of(cluster, "node-0", rate_per_slice) <= 1.2 * bears_per_s
+    cluster.cold_requests_per_s.clear()
+    cluster.run_rounds(rounds=8, rates=rates)
+    assert load_of(cluster, "node-0", rate_per_slice) > 15.0
--- a/comfreywharf/placement/view.py
+++ b/comfreywharf/placement/view.py
@@ -152,14 +152,7 @@
     report_timeout = report_timeout_s(len(cluster.members))
     members = {m.node_id: m for m in cluster.members.values() if m.service == name}
     live = {i for i, m in members.items() if table.is_live(m, now_s, report_timeout)}
-    speeds = _speeds(table, live) if tuning.scale_by_speed else {}
-    targets = {
-        node_id: max(1, member.slots)
-        * (_warm_up_share(table.warm_for_s(node_id, now_s), tuning) if warm_up else 1.0)
-        * speeds.get(node_id, 1.0)
-        for node_id, member in sorted(members.items())
-        if node_id in live and not member.draining
-    }
+    targets = _targets(members, live, table, now_s, warm_up, tuning)
     slices = cluster.slices[name].slices
     weights = _weights(slices, table.rates.get(name, {}))
     loads = dict.fromkeys(members, 0.0)
@@ -184,6 +177,32 @@
     )
 
 
+def _targets(members, live, table, now_s, warm_up, tuning):
+    """Return the capacity in slots of each node to which slices may be assigned."""
+    speeds = _speeds(table, live) if tuning.scale_by_speed else {}
+    mean_service_s = _mean_service_s(table, live)
+    targets = {}
+    for node_id, member in sorted(members.items()):
+        if node_id not in live or member.draining:
+            continue
+        slots = max(1, member.slots)
+        capacity = slots * speeds.get(node_id, 1.0)
+        cold_per_s = table.cold_requests_per_s(node_id)
+        if warm_up and cold_per_s is not None:
+            cold_slots = cold_per_s * mean_service_s or slots * COLD_SHARE
+            capacity = min(capacity, cold_slots)
+        elif warm_up:
+            capacity *= _warm_up_share(table.warm_for_s(node_id, now_s), tuning)
+        targets[node_id] = capacity
+    return targets
+
+
+def _mean_service_s(table, node_ids):
+    """Return the mean service time of some nodes in seconds; 0 if none is known."""
+    known_ms = [ms for node_id in node_ids if (ms := table.service_ms(node_id)) > 0]
+    return sum(known_ms) / len(known_ms) / 1000 if known_ms else 0.0
+
+
 def _warm_up_share(warm_s, tuning):
     """Return the share of its capacity that a server gets ``warm_s`` after its start.
 
--- a/comfreywharf/platform/announcements.py
+++ b/comfreywharf/platform/announcements.py
@@ -27,6 +27,9 @@
 
 MAX_FENCE = 2**63 - 1
 
+MAX_COLD_S = 3600.0
+"""A longer time until a server is warm is damaged: it would get hardly any requests."""
+
 MAX_START_MS = 10**14
 """The year 5138, as a Unix time in milliseconds."""
 
@@ -51,12 +54,14 @@
 class Heartbeat:
     """One heartbeat. ``sequence`` counts the heartbeats of one incarnation.
 
+    The server stays cold for ``cold_s`` after it was sent; 0 means that it is warm.
     ``held`` is ``None`` if the heartbeat doesn't list the keys that are held.
     """
 
     announcement: Announcement
     sequence: int
     leaving: bool
+    cold_s: float = 0.0
     held: tuple[HeldRange, ...] | None = None
     released: tuple[ReleasedRange, ...] = ()
 
@@ -71,7 +76,9 @@
     host, port = _address(fields.get("address"))
     _text(fields, "zone")
     _text(fields, "version")
-    _duration(fields, "coldRemaining")
+    cold_s = _duration(fields, "coldRemaining")
+    if cold_s > MAX_COLD_S:
+        raise DamagedReport("coldRemaining", cold_s, f"at most {MAX_COLD_S:.0f} s")
     slots = _integer(fields, "slots", MAX_SLOTS)
     if slots < 1:
         raise DamagedReport("slots", slots, "one or more")
@@ -94,6 +101,7 @@
         announcement=announcement,
         sequence=_integer(fields, "sequence", MAX_SEQUENCE),
         leaving=state == "draining",
+        cold_s=cold_s,
         held=_held(fields) if "holds" in fields else None,
         released=_released(fields) if "released" in fields else (),
     )
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -1,5 +1,7 @@
 """Read the operator's configuration from the store into a `RouteTable`."""
 
+import math
+
 import gevent
 import orjson
 from absl import logging
@@ -87,9 +89,18 @@
         connections=int(fields["maxConnections"]),
         health_path=fields.get("healthPath", "/"),
         grant_way=_grant_way(name, fields.get("grants", "direct")),
+        cold_requests_per_s=_cold_requests_per_s(name, fields.get("coldPerS", 0)),
+        cold_start_s=duration_s(fields.get("coldStart", "0s")),
     )
 
 
+def _cold_requests_per_s(service, value):
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        position = f"{TOPIC}/{KEY}: services.{service}.coldPerS"
+        raise ValueError(f"{position}: found {value!r:.80}; expected a number from 0")
+    return float(value)
+
+
 def _grant_way(service, text):
     try:
         return GRANT_WAYS[text]
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -76,7 +76,10 @@
         service = heartbeat.announcement.service
         self._check_service(service)
         is_current = self._lifecycle.receive_heartbeat(
-            heartbeat.announcement, heartbeat.sequence, heartbeat.leaving
+            heartbeat.announcement,
+            heartbeat.sequence,
+            heartbeat.leaving,
+            heartbeat.cold_s,
         )
         if not is_current or heartbeat.held is None:
             return {}
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -18,6 +18,7 @@
 from comfreywharf.daemon.servers.backend_lifecycle import BackendLifecycle
 from comfreywharf.load import ConcurrencyLimit, NearFirst
 from comfreywharf.load.admission import RetryAfter
+from comfreywharf.load.coldstart import ColdTerms
 from comfreywharf.load.fairqueue import RankedQueue
 from comfreywharf.ownership.holds import HoldTerms
 from comfreywharf.ownership.listed_holds import ListedHoldBook
@@ -194,6 +195,16 @@
         """
         return ConcurrencyLimit(slots, ramp_up=False, cut_on_refusal=False)
 
+    def cold_terms(self, service):
+        """Return the `ColdTerms` of a service whose cold servers need a bound."""
+        if service is None or not service.cold_requests_per_s:
+            return None
+        return ColdTerms(
+            requests_per_s=service.cold_requests_per_s,
+            overage=self._settings.cold_overage,
+            extra_requests=self._settings.cold_extra_requests,
+        )
+
     def make_queue(self):
         """Return a queue by priority; on the platform, no key can use up the slots."""
         return RankedQueue()
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -38,7 +38,9 @@
     ``callers`` is the address to which callers and the backend server beside this
     node send requests, ``ready`` that of the platform's readiness probe, and
     ``heartbeats`` that to which the backend server sends its heartbeats. Times are
-    in seconds. ``grant_interval_s`` is the time between two grants if these are
+    in seconds. A cold backend server may get ``cold_overage`` times the requests per
+    second that its service states, and ``cold_extra_requests`` in any second.
+    ``grant_interval_s`` is the time between two grants if these are
     answers to heartbeats, and zero if they are sent at any time.
     """
 
@@ -55,6 +57,8 @@
     longest_hold_s: float
     retry_fraction: float
     routes_apply_s: float
+    cold_overage: float
+    cold_extra_requests: float
     store_writes_per_s: float
     store_reads_per_s: float
 
@@ -89,6 +93,10 @@
             self._add_finding(number, f"{name}: {error}")
             return default
 
+    def read_optional(self, name, convert, default):
+        """Return a field as `read` does; the default without a finding if missing."""
+        return self.read(name, convert, default) if name in self._fields else default
+
 
 def _address(text):
     host, mark, port = text.rpartition(":")
@@ -106,11 +114,18 @@
 
 def _positive(text):
     number = float(text)
-    if number <= 0:
+    if not 0 < number < math.inf:
         raise ValueError(f"found {text!r}; expected a number above 0")
     return number
 
 
+def _not_negative(text):
+    number = float(text)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"found {text!r}; expected a number from 0")
+    return number
+
+
 def _uses_heartbeat_grants(text):
     if text not in GRANT_WAYS:
         raise ValueError(f"found {text!r}; expected {' or '.join(GRANT_WAYS)}")
@@ -140,7 +155,7 @@
 
 
 def _settings(fields):
-    read = fields.read
+    read, optional = fields.read, fields.read_optional
     host = read("self.ip", str, "")
     listen_prefix = "network.listen."
     bounds_prefix = "terms.bounds."
@@ -160,6 +175,8 @@
         "longest_hold_s": read(bounds_prefix + "maxHold", duration_s, 10.0),
         "routes_apply_s": read(bounds_prefix + "configApply", duration_s, 2.0),
         "retry_fraction": read(bounds_prefix + "retryBudgetRatio", _positive, 0.2),
+        "cold_overage": optional(bounds_prefix + "coldOverage", _positive, 1.0),
+        "cold_extra_requests": optional(bounds_prefix + "coldExtra", _not_negative, 0),
         "store_writes_per_s": read("platform.platform.writesPerS", _positive, 400.0),
         "store_reads_per_s": read("platform.platform.readsPerS", _positive, 2000.0),
     }
--- a/comfreywharf/platform/tests/test_announcements.py
+++ b/comfreywharf/platform/tests/test_announcements.py
@@ -28,6 +28,12 @@
     assert announced.incarnation == ServerIncarnation("i-1", 1_000)
 
 
+def test_the_time_until_a_server_is_warm_is_decoded():
+    """A server reports with each heartbeat for how long it stays cold."""
+    assert read_heartbeat("i-1", report(coldRemaining="1500ms")).cold_s == 1.5
+    assert read_heartbeat("i-1", report()).cold_s == 0.0
+
+
 def test_the_start_time_is_optional():
     """The start time is optional."""
     fields = {name: value for name, value in VALID_FIELDS.items() if name != "born"}
@@ -45,7 +51,7 @@
     *[("address", value) for value in (8080, "10.0.0.9", ":8080", "10.0.0.9:0")],
     *[("address", value) for value in ("10.0.0.9:8_0", "h:80", "10.0.0.9:70000")],
     *[("address", value) for value in ("10.0.0.9:٨٠", "10.0.0.9: 80", [1])],
-    *[("coldRemaining", value) for value in (0, "0", "soon", [])],
+    *[("coldRemaining", value) for value in (0, "0", "soon", [], "-1s", "99999s")],
     *[("zone", value) for value in (1, "")],
     *[("version", value) for value in (1, {})],
 ]
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -1,11 +1,14 @@
 """Translation of the platform's configuration and settings, and errors in them."""
 
+import json
+
 import orjson
 import pytest
 from returns.result import Failure
 
 from comfreywharf.platform.configuration import route_table
 from comfreywharf.platform.durations import duration_s, duration_text
+from comfreywharf.platform.ports import PlatformPorts
 from comfreywharf.platform.settings import read_boot_file
 from comfreywharf.platform.tests.builders import boot_text, configuration
 from comfreywharf.routes import GrantWay, decode_table, encode_table
@@ -120,3 +123,34 @@
     assert held_s > 2 * settings.heartbeat_interval_s
     orders = read(tmp_path, boot_text()).unwrap()
     assert orders.node.lease_ms == 1500
+
+
+def test_what_a_cold_server_bears_is_read(tmp_path):
+    """The configuration has the rate, and the settings by how much it is exceeded."""
+    document = configuration()
+    document["services"]["stock"].update({"coldPerS": 4.05, "coldStart": "3s"})
+    table = route_table(orjson.dumps(document))
+    stock = table.service("stock")
+    assert (stock.cold_requests_per_s, stock.cold_start_s) == (4.05, 3.0)
+    assert decode_table(encode_table(table)) == table
+    bounds = "terms.bounds.coldOverage=1.5\nterms.bounds.coldExtra=8\n"
+    ports = PlatformPorts(read(tmp_path, boot_text() + bounds).unwrap())
+    assert ports.cold_terms(stock).max_requests == 14
+    assert ports.cold_terms(table.service("booking")) is None
+
+
+@pytest.mark.parametrize("value", ["4", -1, True, None, float("inf"), [4]])
+def test_a_damaged_rate_of_cold_servers_is_reported_with_its_position(value):
+    """Guards against a bound that keeps a server from all requests, or from none."""
+    document = configuration()
+    document["services"]["stock"]["coldPerS"] = value
+    text = json.dumps(document).encode()
+    with pytest.raises(ValueError, match=r"services\.stock\.coldPerS|JSONDecodeError"):
+        route_table(text)
+
+
+@pytest.mark.parametrize("text", ["0", "-1", "nan", "inf", "much"])
+def test_a_damaged_overage_is_a_finding(tmp_path, text):
+    """The node doesn't start with a bound that can't be meant."""
+    found = read(tmp_path, boot_text() + f"terms.bounds.coldOverage={text}\n")
+    assert "coldOverage" in found.failure()[0]
--- a/comfreywharf/routes/codec.py
+++ b/comfreywharf/routes/codec.py
@@ -11,7 +11,17 @@
     RouteTable,
 )
 
-__all__ = ["RouteTableError", "decode_table", "encode_table", "service_of_fields"]
+__all__ = [
+    "RouteTableError",
+    "decode_table",
+    "encode_table",
+    "fields_of_service",
+    "service_of_fields",
+]
+
+_OPTIONAL_FIELDS = {"cold_requests_per_s": 0.0, "cold_start_s": 0.0}
+"""Fields of a service that are left out at these values. Nodes of a version that
+doesn't have them can then read the table."""
 
 
 class RouteTableError(ValueError):
@@ -21,6 +31,7 @@
 def encode_table(table):
     """Return a table encoded as JSON."""
     fields = attrs.asdict(table, filter=lambda field, _: not field.name[0] == "_")
+    fields["services"] = [fields_of_service(service) for service in table.services]
     return orjson.dumps(fields)
 
 
@@ -41,6 +52,15 @@
         raise RouteTableError(f"expected a JSON route table: {error!r}") from error
 
 
+def fields_of_service(service):
+    """Return the fields of a `RoutedService` to encode."""
+    fields = attrs.asdict(service)
+    for name, default in _OPTIONAL_FIELDS.items():
+        if fields[name] == default:
+            del fields[name]
+    return fields
+
+
 def service_of_fields(fields):
     """Return the `RoutedService` of decoded fields; raises `TypeError`."""
     return RoutedService(**fields)
--- a/comfreywharf/routes/model.py
+++ b/comfreywharf/routes/model.py
@@ -55,7 +55,8 @@
     If it is divided by number, each request has a key from 0 to 65,535, and its
     backend servers hold their keys by grants, which are made in its
     ``grant_way``. ``connections`` is how many connections one backend server
-    accepts in total.
+    accepts in total. A backend server is cold for ``cold_start_s`` after its start, and
+    bears ``cold_requests_per_s`` meanwhile; 0 means that no such bound is known.
     """
 
     name: str
@@ -63,6 +64,8 @@
     connections: int = 100
     health_path: str = "/"
     grant_way: GrantWay = attrs.field(default=GrantWay.ORDERS, converter=GrantWay)
+    cold_requests_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/comfreywharf/routes/tests/test_updates.py
+++ b/comfreywharf/routes/tests/test_updates.py
@@ -54,6 +54,19 @@
     assert receiver.table.find("x.example", "/p7/a").timeout_ms == 1234
 
 
+def test_a_service_without_a_cold_rate_is_encoded_as_before():
+    """Nodes of a version that knows no such rate can read the table, and its digest."""
+    table = make_table(version=1, services=(RoutedService(name="booking"),))
+    fields = fields_of(routes_with(table).update_after(0, UpdateForm.WHOLE))
+    assert set(fields["services"][0]) == {
+        "name",
+        "divided_by_number",
+        "connections",
+        "health_path",
+        "grant_way",
+    }
+
+
 def test_an_update_is_encoded_once_for_all_peers():
     """Guards against a relay that spends its processor on encoding for each member."""
     sender = routes_with(make_table(version=1), make_table(version=2, routes=()))
--- a/comfreywharf/routes/updates.py
+++ b/comfreywharf/routes/updates.py
@@ -11,7 +11,11 @@
 import orjson
 import xxhash
 
-from comfreywharf.routes.codec import RouteTableError, service_of_fields
+from comfreywharf.routes.codec import (
+    RouteTableError,
+    fields_of_service,
+    service_of_fields,
+)
 from comfreywharf.routes.model import CallerLimits, Part, Route, RouteTable
 
 __all__ = [
@@ -83,7 +87,7 @@
 def _sum_of_digests(routes, services, limits):
     total = _digest_of(attrs.asdict(limits))
     total += sum(_digest_of(_route_fields(route)) for route in routes)
-    return total + sum(_digest_of(attrs.asdict(service)) for service in services)
+    return total + sum(_digest_of(fields_of_service(service)) for service in services)
 
 
 @attrs.frozen
@@ -199,7 +203,7 @@
         "base_digest": update.base_digest,
         "routes": [_route_fields(route) for route in update.routes],
         "dropped_routes": update.dropped_routes,
-        "services": [attrs.asdict(service) for service in update.services],
+        "services": [fields_of_service(service) for service in update.services],
         "dropped_services": update.dropped_services,
         "limits": update.limits and attrs.asdict(update.limits),
     }
--- a/comfreywharf/routing/outcomes.py
+++ b/comfreywharf/routing/outcomes.py
@@ -49,6 +49,7 @@
     NO_OWNER = "no-owner"
     NOT_YET_OWNER = "not-yet-owner"
     OVERLOADED = "overloaded"
+    BACKEND_COLD = "backend-cold"
     DRAINING = "draining"
     NO_BACKEND = "no-backend"
     REFUSED_BY_BACKEND = "refused-by-backend"
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -39,6 +39,7 @@
 _OTHER_MEMBER_MAY_SERVE = frozenset(
     {
         Reason.OVERLOADED,
+        Reason.BACKEND_COLD,
         Reason.DRAINING,
         Reason.NO_BACKEND,
         Reason.REFUSED_BY_BACKEND,
@@ -49,7 +50,12 @@
 service isn't divided by key."""
 
 _BACKEND_NOT_REACHED = frozenset(
-    {Reason.PEER_UNREACHABLE, Reason.NO_BACKEND, Reason.DRAINING}
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.NO_BACKEND,
+        Reason.DRAINING,
+        Reason.BACKEND_COLD,
+    }
 )
 """Refusals of `_OTHER_MEMBER_MAY_SERVE` made before a backend server received
 the request, so that the next send doesn't count as a retry. If it did, a third of the
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -546,6 +546,7 @@
      - owner_hint
      - event_clock
      - retries_left
+     - cold_ms
 
     """
 
@@ -560,10 +561,11 @@
         'owner_hint',
         'event_clock',
         'retries_left',
+        'cold_ms',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -574,6 +576,7 @@
         self.owner_hint = owner_hint
         self.event_clock = event_clock
         self.retries_left = retries_left
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -640,6 +643,11 @@
                     self.retries_left = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -693,6 +701,10 @@
             oprot.writeFieldBegin('retries_left', TType.I32, 10)
             oprot.writeI32(self.retries_left)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 11)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2698,6 +2710,7 @@
      - lease_held
      - event_clock
      - service_ms
+     - cold_requests_per_s
 
     """
 
@@ -2711,10 +2724,11 @@
         'lease_held',
         'event_clock',
         'service_ms',
+        'cold_requests_per_s',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, slices=None, hot_keys=None, busy_fraction=None, backend_up=None, lease_held=None, event_clock=None, service_ms=None,):
+    def __init__(self, node_id=None, incarnation=None, slices=None, hot_keys=None, busy_fraction=None, backend_up=None, lease_held=None, event_clock=None, service_ms=None, cold_requests_per_s=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.slices = slices
@@ -2724,6 +2738,7 @@
         self.lease_held = lease_held
         self.event_clock = event_clock
         self.service_ms = service_ms
+        self.cold_requests_per_s = cold_requests_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2791,6 +2806,11 @@
                     self.service_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.cold_requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2843,6 +2863,10 @@
             oprot.writeFieldBegin('service_ms', TType.DOUBLE, 9)
             oprot.writeDouble(self.service_ms)
             oprot.writeFieldEnd()
+        if self.cold_requests_per_s is not None:
+            oprot.writeFieldBegin('cold_requests_per_s', TType.DOUBLE, 10)
+            oprot.writeDouble(self.cold_requests_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3030,6 +3054,7 @@
     (8, TType.STRING, 'owner_hint', 'UTF8', None, ),  # 8
     (9, TType.I64, 'event_clock', None, None, ),  # 9
     (10, TType.I32, 'retries_left', None, None, ),  # 10
+    (11, TType.I32, 'cold_ms', None, None, ),  # 11
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -3180,6 +3205,7 @@
     (7, TType.BOOL, 'lease_held', None, None, ),  # 7
     (8, TType.I64, 'event_clock', None, None, ),  # 8
     (9, TType.DOUBLE, 'service_ms', None, None, ),  # 9
+    (10, TType.DOUBLE, 'cold_requests_per_s', None, None, ),  # 10
 )
 all_structs.append(LoadReportReply)
 LoadReportReply.thrift_spec = (
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -11,7 +11,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.membership.incarnations import ServerIncarnation
-from comfreywharf.platform.durations import duration_s
+from comfreywharf.platform.durations import duration_s, duration_text
 
 __all__ = ["HEARTBEAT_S", "AcceptedGrant", "PlatformServer", "Run", "post"]
 
@@ -56,7 +56,8 @@
     didn't hold. Work that lasts longer than the hold that it began under ends with
     status 500, counted in ``outlasted_holds``. Answers carry ``answer_id``, if it is
     set, as the id of the attempt.
-    While ``heartbeats_off`` is set, the server sends no heartbeats.
+    While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
+    report that it stays cold for ``cold_s``.
 
     With ``uses_hold_lists`` it refuses grant and release requests; the answers to its
     heartbeats list the ranges that it holds. The next ``lose_answers`` of these
@@ -93,6 +94,7 @@
         self.accepted_grants = []
         self.state = "ready"
         self.heartbeats_off = False
+        self.cold_s = 0.0
         # The highest accepted fence of each key; keys are 0 to 65535.
         self._highest_fences = [-1] * 65536
         self.born_ms = 1_000
@@ -195,7 +197,7 @@
             "version": "v1",
             "slots": 8,
             "state": self.state,
-            "coldRemaining": "0ms",
+            "coldRemaining": duration_text(self.cold_s),
             "sequence": self._sequence,
             "born": self.born_ms,
             **(self._hold_fields() if self.uses_hold_lists else {}),
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -59,7 +59,8 @@
   7: required i32 retry_after_ms,      // 0: no advice
   8: required string owner_hint,       // on WRONG_OWNER: the node to try
   9: required i64 event_clock,
-  10: required i32 retries_left
+  10: required i32 retries_left,
+  11: optional i32 cold_ms             // how long the sender's server stays cold
 }
 
 struct BodyChunk {
@@ -208,7 +209,8 @@
   6: required bool backend_up,
   7: required bool lease_held,
   8: required i64 event_clock,
-  9: required double service_ms        // mean time per request at the server; 0: unknown
+  9: required double service_ms,       // mean time per request at the server; 0: unknown
+  10: optional double cold_requests_per_s // what the server bears; unset: it is warm
 }
 
 struct LoadReportReply {
