Evacuate failure domains on the operator's order

Change: the reader of the configuration reads the records evacuate/ZONE too, and applies them before the routes. Exchanges between peers carry the newest version of them and the domains, so that nodes which hear from a relay know them, and a node that starts knows them before it serves; a relay that can't tell them isn't fresh. The bound is counted from when the node last knew that there was no order. Damaged orders are reported once and counted. The tool, two gauges, a counter, four events and a page show it.

Tests: a state machine over orders, ends, gossip, moves, losses and restarts; the adapter with stand-ins, also with the store's history dropped, the store down, a relay, a restart.

--- a/comfreywharf/cli/main.py
+++ b/comfreywharf/cli/main.py
@@ -8,6 +8,7 @@
 from comfreywharf.cli import (
     config,
     doctor,
+    evacuations,
     events,
     explain,
     keys,
@@ -36,7 +37,7 @@
 app.register_install_completion_command(add_to_startup=False)
 
 for _module in (
-    *(nodes, keys, config, quarantine),
+    *(nodes, keys, config, quarantine, evacuations),
     *(events, timeline, explain, outliers, doctor),
 ):
     _module.register(app)
--- a/comfreywharf/daemon/membership/gossip.py
+++ b/comfreywharf/daemon/membership/gossip.py
@@ -15,6 +15,7 @@
     unpack_records,
 )
 from comfreywharf.daemon.records.snapshots import encode_yielding
+from comfreywharf.membership.evacuations import NO_VERSION
 from comfreywharf.membership.gossip import GossipInterval, choose_partners, push_count
 from comfreywharf.membership.relays import RelayedAge
 from comfreywharf.records.snapshots import SnapshotAssembler
@@ -88,6 +89,7 @@
         node.follower.subscribe(lambda record, result: self._wake())
         node.follower.subscribe_loaded(self._wake)
         node.routes.subscribe(lambda table: self._wake())
+        node.evacuations.subscribe(lambda change: self._wake())
 
     def push_soon(self):
         """Schedule a push of news to some peers as soon as possible."""
@@ -126,6 +128,7 @@
         known = frozenset(notice.notice_id for notice in request.notices)
         records = self._records_for(request.next_offset)
         routes, update = self._routes_for(request)
+        version, domains = self._evacuations_for(request)
         return ExchangeReply(
             next_offset=node.follower.state.next_offset,
             records=pack_records(records) if records else b"",
@@ -136,6 +139,8 @@
             routes_update=update,
             log_age_ms=_age_ms(now_s - node.follower.confirmed_s),
             routes_age_ms=_age_ms(node.routes.age_s(now_s)),
+            evacuations_version=version,
+            evacuated_domains=domains,
         )
 
     def _routes_for(self, request):
@@ -146,13 +151,26 @@
         update = self._node.routes.update_after(request.routes_version, form)
         return b"", update or None
 
+    def _evacuations_for(self, request):
+        """Return the version of the evacuations, and the domains if a peer needs them.
+
+        Both are ``None`` while this node knows none.
+        """
+        evacuations = self._node.evacuations
+        if not evacuations.is_known:
+            return None, None
+        if evacuations.version <= _evacuations_version(request):
+            return evacuations.version, None
+        return evacuations.version, sorted(evacuations.domains)
+
     def _await_news(self, request, until_s):
-        """Wait until there are records or routes that a peer doesn't have."""
+        """Wait until there is anything that a peer doesn't have."""
         until_s = min(until_s, boottime_s() + MAX_LONG_POLL_S)
         node = self._node
         while (
             node.follower.state.next_offset <= request.next_offset
             and node.routes.version <= request.routes_version
+            and node.evacuations.version <= _evacuations_version(request)
             and (left_s := until_s - boottime_s()) > 0
         ):
             self._changed.wait(left_s)
@@ -283,6 +301,9 @@
             reply.next_offset
         ):
             return None
+        if reply.evacuations_version is None:
+            # The peer's routes may be current, but not what it says of evacuations.
+            return RelayedAge(reply.log_age_ms / 1000, math.inf)
         return RelayedAge(reply.log_age_ms / 1000, _age_s(reply.routes_age_ms))
 
     def _exchange(self, client):
@@ -301,6 +322,9 @@
             event_clock=0,
             routes_version=node.routes.version,
             routes_form=node.routes.form,
+            evacuations_version=node.evacuations.version
+            if node.evacuations.is_known
+            else None,
             wait_ms=int(wait_s * 1000),
             host=node.settings.host,
             peer_port=node.settings.advertised_peer_port or node.settings.peer_port,
@@ -309,7 +333,7 @@
         timeout_s = wait_s + LONG_POLL_MARGIN_S if wait_s else EXCHANGE_TIMEOUT_S
         reply = client.call("exchange", request, timeout_s=timeout_s)
         node.notices.receive(reply.notices, boottime_s())
-        self._apply_routes(reply, client, sent_s)
+        self._apply_operators_news(reply, client, sent_s)
         advanced = self._fold_records(_records_in(reply))
         if reply.log_age_ms >= 0 and node.follower.has_all_below(reply.next_offset):
             # The peer's fold matched the log ``log_age_ms`` before its answer, and
@@ -317,13 +341,18 @@
             node.follower.confirm(sent_s - reply.log_age_ms / 1000)
         return reply, advanced
 
-    def _apply_routes(self, reply, client, sent_s):
-        """Apply a peer's routes if newer; record when they were confirmed as current.
+    def _apply_operators_news(self, reply, client, sent_s):
+        """Apply a peer's evacuations and routes if newer, in this order.
 
-        The reported age counts from the answer, which came after the request was sent.
+        Record when both were confirmed as current. The reported age counts from the
+        answer, which came after the request was sent.
         """
         routes = self._node.routes
         source = f"{client.host}:{client.port}"
+        if reply.evacuated_domains is not None:
+            self._node.evacuation_watch.apply(
+                reply.evacuations_version, reply.evacuated_domains, source
+            )
         try:
             applied = _apply_routes_of(reply, routes)
         except RouteTableError as error:
@@ -331,7 +360,11 @@
             return
         if applied:
             self._node.report("routes_in_force", version=routes.version, source=source)
-        if reply.routes_age_ms >= 0 and routes.version >= reply.routes_version:
+        has_all = (
+            routes.version >= reply.routes_version
+            and reply.evacuations_version is not None
+        )
+        if reply.routes_age_ms >= 0 and has_all:
             routes.confirm(sent_s - reply.routes_age_ms / 1000)
 
     def _report_unreadable_routes(self, source, error):
@@ -359,6 +392,12 @@
         return advanced
 
 
+def _evacuations_version(request):
+    """Return the version that a peer knows; a peer of an earlier build tells none."""
+    version = request.evacuations_version
+    return NO_VERSION if version is None else version
+
+
 def _apply_routes_of(reply, routes):
     """Apply the routes in a reply, if any; return whether they were newer.
 
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -7,6 +7,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.handler import PeerHandler
+from comfreywharf.daemon.membership.evacuation_watch import EvacuationWatch
 from comfreywharf.daemon.membership.gossip import Gossip
 from comfreywharf.daemon.membership.notices import Notices
 from comfreywharf.daemon.membership.peers import Peers
@@ -34,6 +35,7 @@
 from comfreywharf.daemon.stopping import stop_gracefully, stop_within
 from comfreywharf.events.ownership import OwnershipTracker
 from comfreywharf.membership import NodeFacts, NodeLifecycle, PauseDetector
+from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.membership.predecessors import has_predecessor_ended
 from comfreywharf.metrics import Metrics
 from comfreywharf.ownership import MIN_WITNESSES
@@ -92,6 +94,8 @@
         self.follower.subscribe_loaded(self._on_loaded)
         self.snapshots = SnapshotWriter(settings.node_id, self.follower, self.report)
         self.routes = Routes(self.ports.retry_fraction)
+        self.evacuations = Evacuations(self.ports.evacuate_s)
+        self.evacuation_watch = EvacuationWatch(self)
         self.peers = Peers(self.follower, self.reporter)
         self.notices = Notices()
         self.gossip = Gossip(self)
@@ -175,6 +179,7 @@
             if transition:
                 self.report("node_state", before=transition[0], after=transition[1])
             self._announce_if_removed()
+            self.evacuation_watch.follow(boottime_s())
             members = len(self.follower.state.members)
             if self.lifecycle.state == "joining" and members < MIN_WITNESSES:
                 if not reported_too_few:
@@ -249,7 +254,17 @@
     @property
     def accepts_requests(self):
         """Return whether new requests are still sent to the backend server."""
-        return not self.closed_to_new_work and not self.finishing
+        closed = self.closed_to_new_work or self.finishing
+        return not closed and not self.evacuation_watch.is_closed(boottime_s())
+
+    @property
+    def may_recover_lease(self):
+        """Return whether the node may hold a lease: it has a server to serve with."""
+        return self.backend is not None and not (
+            self.stopping
+            or self.closed_to_new_work
+            or self.evacuation_watch.is_closed(boottime_s())
+        )
 
     def stop_within(self, grace_s, caller_server):
         """Stop within ``grace_s`` seconds: hand over all slices, finish requests."""
@@ -279,7 +294,7 @@
             port=announcement.port,
         )
         self.load.backend_announced()
-        if not self.stopping:
+        if self.may_recover_lease:
             self.leases.recover()
         self._announcing = gevent.spawn(self._announce)
 
--- a/comfreywharf/daemon/operating/documents.py
+++ b/comfreywharf/daemon/operating/documents.py
@@ -17,6 +17,7 @@
     "DrainDocument",
     "DrainOrder",
     "ErrorDocument",
+    "EvacuationDocument",
     "LiftOrder",
     "NodeDocument",
     "OwnerDocument",
@@ -213,6 +214,23 @@
     owned_slices: int
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationDocument:
+    """A failure domain that is evacuated, and how far that has come.
+
+    Its servers get nothing new in ``closes_in_ms``, or now if that is 0. ``nodes`` are
+    its members; they still own ``owned_slices``, and haven't released
+    ``unreleased_slices`` that were moved.
+    """
+
+    domain: str
+    version: int
+    closes_in_ms: int
+    nodes: int
+    owned_slices: int
+    unreleased_slices: int
+
+
 @attrs.frozen(kw_only=True)
 class QuarantineDocument:
     """A request that crashed backend servers, and is suspected or no longer run."""
--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -4,6 +4,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.operating.decisions import NEVER_AGE_S
+from comfreywharf.membership.evacuations import evacuated_slices
 from comfreywharf.metrics import Gauges
 from comfreywharf.records import key_hash
 from comfreywharf.routing import Outcome, Reason
@@ -107,4 +108,8 @@
             config_version=node.follower.state.config.version,
             routes_version=node.routes.version,
             routes_age_s=min(node.routes.age_s(now_s), NEVER_AGE_S),
+            evacuated_domains=len(node.evacuations.domains),
+            evacuation_slices=len(
+                evacuated_slices(node.follower.state, node.evacuations.domains)
+            ),
         )
--- a/comfreywharf/daemon/operating/operators.py
+++ b/comfreywharf/daemon/operating/operators.py
@@ -28,6 +28,7 @@
 from comfreywharf.daemon.operating.views import (
     config_document,
     configuration_at,
+    evacuation_documents,
     node_documents,
     owner_document,
     service_documents,
@@ -93,6 +94,7 @@
                 ("GET", "/config/outcome"): self._outcome,
                 ("POST", "/drain"): self._drain,
                 ("POST", "/undrain"): self._undrain,
+                ("GET", "/evacuations"): self._evacuations,
                 ("GET", "/quarantine"): self._quarantine,
                 ("POST", "/quarantine/lift"): self._lift,
                 ("GET", "/events"): self._events,
@@ -256,6 +258,10 @@
             ),
         )
 
+    def _evacuations(self, request):
+        state, evacuations = self._read_state(), self._node.evacuations
+        return Reply(200, evacuation_documents(state, evacuations, boottime_s()))
+
     def _quarantine(self, request):
         quarantine = self._find_quarantine()
         entries = quarantine.list(boottime_s()) if quarantine else []
--- a/comfreywharf/daemon/operating/views.py
+++ b/comfreywharf/daemon/operating/views.py
@@ -4,18 +4,21 @@
 
 from comfreywharf.daemon.operating.documents import (
     ConfigDocument,
+    EvacuationDocument,
     NodeDocument,
     OwnerDocument,
     ServiceDocument,
     VersionDocument,
 )
 from comfreywharf.declarations import differences, service_to_fields
+from comfreywharf.membership.evacuations import evacuated_members, evacuated_slices
 from comfreywharf.records import changes_since
 
 __all__ = [
     "changed_since",
     "config_document",
     "configuration_at",
+    "evacuation_documents",
     "node_documents",
     "owner_document",
     "service_documents",
@@ -52,6 +55,26 @@
     ]
 
 
+def evacuation_documents(state, evacuations, now_s):
+    """Return an `EvacuationDocument` for each evacuated domain, by name."""
+    documents = []
+    for domain in sorted(evacuations.domains):
+        nodes = evacuated_members(state, {domain})
+        slices = evacuated_slices(state, {domain})
+        owned = sum(slice_.owner in nodes for slice_ in slices)
+        documents.append(
+            EvacuationDocument(
+                domain=domain,
+                version=evacuations.version,
+                closes_in_ms=int(evacuations.closes_in_s(domain, now_s) * 1000),
+                nodes=len(nodes),
+                owned_slices=owned,
+                unreleased_slices=len(slices) - owned,
+            )
+        )
+    return documents
+
+
 def service_documents(state):
     """Return a `ServiceDocument` for each declared service, by name."""
     return [
--- a/comfreywharf/daemon/ownership/planning_term.py
+++ b/comfreywharf/daemon/ownership/planning_term.py
@@ -61,7 +61,9 @@
         slice_count = sum(len(each.slices) for each in cluster.slices.values())
         self._next_round_s = now_s + round_interval_s(slice_count)
         for _ in range(MAX_PLANNING_PASSES):
-            _, actions = planning.decide(self._state, RoundDue(cluster=cluster), now_s)
+            evacuated = frozenset(self._node.evacuations.domains)
+            event = RoundDue(cluster=cluster, evacuated=evacuated)
+            _, actions = planning.decide(self._state, event, now_s)
             self._append_all(actions)
             # A split halves a hot slice, and the next pass splits the halves. With
             # one split per round its server stays overloaded for several rounds.
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -43,6 +43,8 @@
       backend server itself refused.
     - ``routes_apply_s``: the time in seconds within which a change of the routes has
       to be in force.
+    - ``evacuate_s``: the time in seconds after an order to evacuate a failure domain
+      from which on its backend servers may get nothing new.
     """
 
     fenced = False
@@ -57,6 +59,7 @@
     retry_fraction = DEFAULT_RETRY_FRACTION
     refused_retry_after_ms = 1000
     routes_apply_s = float("inf")
+    evacuate_s = 5.0
 
     @property
     @abstractmethod
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -192,7 +192,12 @@
             member.near = entry.failure_domain == own_domain
             members[entry.node_id] = member
         group.members = members
-        group.present = [members[e.node_id] for e in entries if not e.draining]
+        evacuated = self._node.evacuations.domains
+        group.present = [
+            members[entry.node_id]
+            for entry in entries
+            if not entry.draining and entry.failure_domain not in evacuated
+        ]
 
 
 def _address(entry):
--- a/comfreywharf/daemon/requests/routes.py
+++ b/comfreywharf/daemon/requests/routes.py
@@ -46,6 +46,11 @@
         """Record that these routes were the operator's newest at ``confirmed_s``."""
         self._confirmed_s = max(self._confirmed_s, confirmed_s)
 
+    @property
+    def confirmed_s(self):
+        """Return when these routes were last known to be the operator's newest."""
+        return self._confirmed_s
+
     def age_s(self, now_s):
         """Return for how long these routes may have been outdated."""
         return max(0.0, now_s - self._confirmed_s)
--- a/comfreywharf/daemon/tests/operator_builders.py
+++ b/comfreywharf/daemon/tests/operator_builders.py
@@ -8,6 +8,7 @@
 from comfreywharf.daemon.operating.operators import OperatorPort
 from comfreywharf.daemon.records.follower import NotAcknowledged
 from comfreywharf.events import EventRing
+from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.records import (
     ClusterState,
     ConfigPatched,
@@ -66,6 +67,7 @@
         follower=follower,
         events=EventRing("booking-1"),
         backend=None,
+        evacuations=Evacuations(bound_s=5.0),
     )
     port = OperatorPort(node)
     for number in (1, 2):
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -9,6 +9,7 @@
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import TwoChoices
 from comfreywharf.load.coldstart import ColdTerms
+from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.records.tests.builders import make_member
 from comfreywharf.routes import RoutedService, RouteTable
 from comfreywharf.routing import Reason
@@ -26,6 +27,7 @@
             settings=SimpleNamespace(node_id="me", failure_domain="z"),
             incarnation=1,
             follower=SimpleNamespace(state=state),
+            evacuations=Evacuations(bound_s=5.0),
             routes=SimpleNamespace(table=RouteTable(services=(service,))),
             ports=SimpleNamespace(
                 make_chooser=TwoChoices, cold_terms=lambda service: cold_terms
--- a/comfreywharf/daemon/tests/test_operators.py
+++ b/comfreywharf/daemon/tests/test_operators.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.tests.operator_builders import (
     FakeQuarantine,
     make_port,
@@ -285,3 +286,27 @@
     port, _ = make_port()
     status, _ = send_request(port, "POST", path, body)
     assert status in (200, 202, 400, 404, 409)
+
+
+def test_evacuations_are_listed_with_how_far_they_have_come():
+    """An operator sees when a domain is closed, and what its nodes still own."""
+    port, follower = make_port()
+    assert send_request(port, "GET", "/evacuations") == (200, [])
+    domain = follower.state.members["booking-1"].failure_domain
+    now_s = boottime_s()
+    port._node.evacuations.apply(1, (), now_s, now_s)
+    port._node.evacuations.apply(7, {domain}, now_s, now_s)
+    status, [document] = send_request(port, "GET", "/evacuations")
+    assert status == 200
+    assert document["closes_in_ms"] > 0
+    del document["closes_in_ms"]
+    assert document == {
+        "domain": domain,
+        "version": 7,
+        "nodes": sum(
+            member.failure_domain == domain
+            for member in follower.state.members.values()
+        ),
+        "owned_slices": 2,
+        "unreleased_slices": 0,
+    }
--- a/comfreywharf/daemon/tests/test_planner_rounds.py
+++ b/comfreywharf/daemon/tests/test_planner_rounds.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from comfreywharf.daemon.ownership.planning_term import PlanningTerm
+from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.placement.tests.builders import PlannedCluster
 from comfreywharf.records import fold
 
@@ -28,6 +29,7 @@
         settings=SimpleNamespace(node_id="planner"),
         follower=FoldedLog(cluster.state),
         ports=SimpleNamespace(removes_lost_nodes=False),
+        evacuations=Evacuations(bound_s=5.0),
     )
     return PlanningTerm(node, 1, cluster.planning)
 
--- a/comfreywharf/fleet/tests/builders.py
+++ b/comfreywharf/fleet/tests/builders.py
@@ -40,6 +40,8 @@
         "config_version": 2,
         "routes_version": 7,
         "routes_age_s": 0.2,
+        "evacuated_domains": 0,
+        "evacuation_slices": 0,
         **gauges,
     }
     return render(metrics, Gauges(**values))[0].decode()
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -182,6 +182,27 @@
             "fold-lag",
             "Routes of peers that couldn't be applied here",
         ),
+        _family(
+            "damaged_evacuations_total",
+            _COUNTER,
+            "",
+            "evacuations",
+            "Orders to evacuate that can't be read or name no known failure domain",
+        ),
+        _family(
+            "evacuated_domains",
+            _GAUGE,
+            "",
+            "evacuations",
+            "Failure domains that are evacuated",
+        ),
+        _family(
+            "evacuation_slices",
+            _GAUGE,
+            "",
+            "evacuations",
+            "Slices that nodes in evacuated failure domains still own",
+        ),
         _family(
             "loop_late_seconds",
             _HISTOGRAM,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -50,6 +50,8 @@
     config_version: int
     routes_version: int
     routes_age_s: float
+    evacuated_domains: int
+    evacuation_slices: int
 
 
 class Metrics:
@@ -67,6 +69,7 @@
         self.events = defaultdict(int)
         self.lateness = Buckets()
         self.unreadable_routes = 0
+        self.damaged_evacuations = 0
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -93,6 +96,10 @@
         """Add the time in which this node owned slices but couldn't serve them."""
         self.owner_unavailable_s[service] += slices * duration_s
 
+    def damaged_evacuation_read(self):
+        """Count an order to evacuate that can't be read or names no known domain."""
+        self.damaged_evacuations += 1
+
     def unreadable_routes_received(self):
         """Count routes of a peer that couldn't be applied."""
         self.unreadable_routes += 1
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -24,6 +24,8 @@
     config_version=2,
     routes_version=7,
     routes_age_s=0.2,
+    evacuated_domains=1,
+    evacuation_slices=6,
 )
 
 SAMPLE = re.compile(r'[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? [0-9.e+-]+')
--- a/comfreywharf/placement/planning.py
+++ b/comfreywharf/placement/planning.py
@@ -63,9 +63,13 @@
 
 @attrs.frozen(kw_only=True)
 class RoundDue:
-    """A planning round is due on the given folded state."""
+    """A planning round is due on the given folded state.
+
+    Slices are moved away from the members in ``evacuated`` failure domains.
+    """
 
     cluster: ClusterState
+    evacuated: frozenset[str] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -144,17 +148,26 @@
     resizes = []
     for name, service in cluster.config.services.items():
         if name in cluster.slices and service.divided_by_key:
-            view = _plan_service(state, cluster, service, now_s)
+            view = _plan_service(state, event, service, now_s)
             moves += view.moves()
             resizes += _resize(state, view)
     return state, _batches(moves) + resizes
 
 
-def _plan_service(state, cluster, service, now_s):
+def _plan_service(state, event, service, now_s):
+    cluster = event.cluster
     slices = cluster.slices[service.name].slices
     state.table.prune(service.name, [slice_.start for slice_ in slices])
     warm_up = state.switches.warm_up
-    view = build_view(cluster, state.table, service.name, now_s, warm_up, state.tuning)
+    view = build_view(
+        cluster,
+        state.table,
+        service.name,
+        now_s,
+        warm_up,
+        state.tuning,
+        evacuated=event.evacuated,
+    )
     if _awaits_first_nodes(state, slices, now_s):
         return view
     plan_mandatory_moves(view)
--- a/comfreywharf/placement/tests/builders.py
+++ b/comfreywharf/placement/tests/builders.py
@@ -35,6 +35,7 @@
         self.now_s = 0.0
         self.service_ms = 0.0
         self.cold_requests_per_s = {}
+        self.evacuated = frozenset()
         self.state = ClusterState()
         self.planning = PlanningState.begin(
             self.now_s, tuning=tuning or PlacementTuning()
@@ -130,7 +131,7 @@
 
     def plan(self):
         """Run a planning round and return its actions."""
-        event = RoundDue(cluster=self.state)
+        event = RoundDue(cluster=self.state, evacuated=self.evacuated)
         return planning.decide(self.planning, event, self.now_s)[1]
 
     def apply(self, actions):
--- a/comfreywharf/placement/view.py
+++ b/comfreywharf/placement/view.py
@@ -143,14 +143,23 @@
         ]
 
 
-def build_view(cluster, table, name, now_s, warm_up=True, tuning=None):
+def build_view(
+    cluster, table, name, now_s, warm_up=True, tuning=None, *, evacuated=frozenset()
+):
     """Return the `ServiceView` of a service that is divided by key.
 
-    ``warm_up`` is false only in replays that show its effect.
+    ``warm_up`` is false only in replays that show its effect. Members in ``evacuated``
+    failure domains count as draining.
     """
     tuning = tuning or PlacementTuning()
     report_timeout = report_timeout_s(len(cluster.members))
-    members = {m.node_id: m for m in cluster.members.values() if m.service == name}
+    members = {
+        m.node_id: attrs.evolve(m, draining=True)
+        if m.failure_domain in evacuated
+        else m
+        for m in cluster.members.values()
+        if m.service == name
+    }
     live = {i for i, m in members.items() if table.is_live(m, now_s, report_timeout)}
     targets = _targets(members, live, table, now_s, warm_up, tuning)
     slices = cluster.slices[name].slices
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Read the operator's configuration from the store into a `RouteTable`."""
+"""Read what the operator writes to the store: the configuration and evacuations."""
 
 import math
 
@@ -27,6 +27,9 @@
 
 TOPIC = "keyed.op"
 KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+"""Begins the key of a zone's evacuation, which lasts until the key has no value."""
+
 READ_WAIT_S = 0.4
 """How long a read waits for new records. The routes' age is only confirmed when the
 read ends; a read that the store never answers times out one second later."""
@@ -110,24 +113,87 @@
         raise ValueError(f"{position}: found {text!r}; expected {expected}") from error
 
 
+def _key_and_value(record):
+    """Return the key of a record as text, and its value."""
+    size = record[0] if record else 0
+    return record[1 : 1 + size].decode("latin-1"), record[1 + size :]
+
+
+class EvacuationOrders:
+    """Apply the operator's orders to evacuate zones, and report damaged ones once."""
+
+    def __init__(self, node, known_zones):
+        self._node = node
+        self._known_zones = known_zones
+        self._reported = set()
+
+    def replace_all(self, values, end):
+        """Apply all orders in force at the offset ``end`` of the topic."""
+        zones = {
+            key.removeprefix(EVACUATION_PREFIX)
+            for key, value in values.items()
+            if key.startswith(EVACUATION_PREFIX) and self._is_order(key, value)
+        }
+        self._node.evacuation_watch.apply(end, zones, "store")
+
+    def update(self, records, first):
+        """Apply the orders in the keys and values of records from offset ``first``.
+
+        A record that the known evacuations include already changes nothing.
+        """
+        evacuations = self._node.evacuations
+        zones, version = set(evacuations.domains), evacuations.version
+        for offset, (key, value) in enumerate(records, first):
+            if not key.startswith(EVACUATION_PREFIX) or offset < version:
+                continue
+            zone = key.removeprefix(EVACUATION_PREFIX)
+            if not value:
+                zones.discard(zone)
+            elif self._is_order(key, value):
+                zones.add(zone)
+            version = offset + 1
+        self._node.evacuation_watch.apply(version, zones, "store")
+
+    def _is_order(self, key, value):
+        """Return whether a value is an order; report one that can't be meant."""
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        try:
+            if not isinstance(orjson.loads(value), dict):
+                raise ValueError("expected an object")
+        except ValueError as error:
+            self._report_damaged(key, f"{value[:80]!r}: {error}")
+            return False
+        if zone not in self._known_zones:
+            known = ", ".join(sorted(self._known_zones))
+            self._report_damaged(key, f"no such zone; known are {known}")
+        return True
+
+    def _report_damaged(self, key, why):
+        self._node.metrics.damaged_evacuation_read()
+        if (key, why) not in self._reported:
+            self._reported.add((key, why))
+            self._node.report("damaged_evacuation", order=f"{TOPIC}/{key}", why=why)
+
+
 class ConfigurationReader:
-    """Read the configuration from the store and apply it to `Routes`.
+    """Read the operator's records from the store; apply routes and evacuations.
 
-    While ``relayed()`` is true, the node receives the configuration from a peer and
-    doesn't read the store.
+    ``known_zones`` are those that the settings name. While the node's records are
+    relayed, it receives all of this from a peer and doesn't read the store.
     """
 
-    def __init__(self, store, routes, report, relayed=lambda: False):
+    def __init__(self, store, node, known_zones):
         self._store = store
-        self._routes = routes
-        self._report = report
-        self._relayed = relayed
+        self._node = node
+        self._routes = node.routes
+        self._report = node.report
+        self._orders = EvacuationOrders(node, known_zones)
         self._next = None
 
     def run(self):
         """Read new configurations until the greenlet is killed."""
         while True:
-            if self._relayed():
+            if self._node.follower.relayed:
                 sleep_to_tick(RELAY_CHECK_INTERVAL_S)
                 continue
             try:
@@ -144,6 +210,8 @@
     def _read_newest(self):
         sent_s = boottime_s()
         newest = self._store.newest(TOPIC)
+        # Evacuations first: with its routes, the node begins to serve.
+        self._orders.replace_all(newest.values, newest.end)
         document = newest.values.get(KEY)
         if document:
             self._apply(document)
@@ -153,15 +221,17 @@
     def _read_next(self):
         sent_s = boottime_s()
         found = self._store.read(TOPIC, self._next, READ_WAIT_S)
-        for record in found.data:
-            size = record[0] if record else 0
-            if record[1 : 1 + size] == KEY.encode():
-                self._apply(record[1 + size :])
+        records = [_key_and_value(record) for record in found.data]
+        self._orders.update(records, self._next)
+        for key, value in records:
+            if key == KEY:
+                self._apply(value)
         self._next += len(found.data)
         if self._next >= found.end:
             self._routes.confirm(complete_at_s(sent_s, READ_WAIT_S, bool(found.data)))
 
     def _apply(self, document):
+        """Apply a configuration; report one that can't be read."""
         try:
             table = route_table(document)
         except ValueError as error:
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -106,6 +106,7 @@
         self.check_port_after_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
         self.retry_fraction = RETRY_SHARE * settings.retry_fraction
         self.routes_apply_s = settings.routes_apply_s
+        self.evacuate_s = settings.evacuate_s
         self.caller_server = None
         self.lifecycle = None
         self._routes = None
@@ -215,9 +216,7 @@
 
     def greenlets(self, node):
         """Return the functions that read the configuration and declare its services."""
-        reader = ConfigurationReader(
-            self.store, node.routes, node.report, lambda: node.follower.relayed
-        )
+        reader = ConfigurationReader(self.store, node, self._settings.zones)
         return (reader.run, ServiceDeclarer(node).run)
 
     def identify(self, node, announcement):
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -38,10 +38,11 @@
     ``callers`` is the address to which callers and the backend server beside this
     node send requests, ``ready`` that of the platform's readiness probe, and
     ``heartbeats`` that to which the backend server sends its heartbeats. Times are
-    in seconds. A cold backend server may get ``cold_overage`` times the requests per
-    second that its service states, and ``cold_extra_requests`` in any second.
-    ``grant_interval_s`` is the time between two grants if these are
-    answers to heartbeats, and zero if they are sent at any time.
+    in seconds. ``zones`` are the names of all zones; the servers of one may get nothing
+    new ``evacuate_s`` after an order to evacuate it. A cold backend server may get
+    ``cold_overage`` times the requests per second that its service states, and
+    ``cold_extra_requests`` in any second. ``grant_interval_s`` is the time between two
+    grants if these are answers to heartbeats, and zero if they are sent at any time.
     """
 
     node: NodeSettings
@@ -57,6 +58,8 @@
     longest_hold_s: float
     retry_fraction: float
     routes_apply_s: float
+    evacuate_s: float
+    zones: tuple[str, ...]
     cold_overage: float
     cold_extra_requests: float
     store_writes_per_s: float
@@ -93,6 +96,14 @@
             self._add_finding(number, f"{name}: {error}")
             return default
 
+    def names_below(self, prefix):
+        """Return the rest of the names of the fields that begin with a prefix."""
+        return [
+            name.removeprefix(prefix)
+            for name in self._fields
+            if name.startswith(prefix)
+        ]
+
     def read_optional(self, name, convert, default):
         """Return a field as `read` does; the default without a finding if missing."""
         return self.read(name, convert, default) if name in self._fields else default
@@ -175,6 +186,7 @@
         "longest_hold_s": read(bounds_prefix + "maxHold", duration_s, 10.0),
         "routes_apply_s": read(bounds_prefix + "configApply", duration_s, 2.0),
         "retry_fraction": read(bounds_prefix + "retryBudgetRatio", _positive, 0.2),
+        "evacuate_s": optional(bounds_prefix + "evacuate", duration_s, 5.0),
         "cold_overage": optional(bounds_prefix + "coldOverage", _positive, 1.0),
         "cold_extra_requests": optional(bounds_prefix + "coldExtra", _not_negative, 0),
         "store_writes_per_s": read("platform.platform.writesPerS", _positive, 400.0),
@@ -201,6 +213,7 @@
     )
     return PlatformSettings(
         node=node,
+        zones=tuple({zone, *fields.names_below("network.zones.")}),
         service=service,
         callers=callers,
         ready=ready,
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -2095,6 +2095,7 @@
      - host
      - peer_port
      - routes_form
+     - evacuations_version
 
     """
 
@@ -2109,10 +2110,11 @@
         'host',
         'peer_port',
         'routes_form',
+        'evacuations_version',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None, host=None, peer_port=None, routes_form=None,):
+    def __init__(self, node_id=None, incarnation=None, next_offset=None, notices=None, event_clock=None, routes_version=None, wait_ms=None, host=None, peer_port=None, routes_form=None, evacuations_version=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.next_offset = next_offset
@@ -2123,6 +2125,7 @@
         self.host = host
         self.peer_port = peer_port
         self.routes_form = routes_form
+        self.evacuations_version = evacuations_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2189,6 +2192,11 @@
                     self.routes_form = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.evacuations_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2242,6 +2250,10 @@
             oprot.writeFieldBegin('routes_form', TType.I32, 10)
             oprot.writeI32(self.routes_form)
             oprot.writeFieldEnd()
+        if self.evacuations_version is not None:
+            oprot.writeFieldBegin('evacuations_version', TType.I64, 11)
+            oprot.writeI64(self.evacuations_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2297,6 +2309,8 @@
      - log_age_ms
      - routes_age_ms
      - routes_update
+     - evacuations_version
+     - evacuated_domains
 
     """
 
@@ -2310,10 +2324,12 @@
         'log_age_ms',
         'routes_age_ms',
         'routes_update',
+        'evacuations_version',
+        'evacuated_domains',
     )
 
 
-    def __init__(self, next_offset=None, records=None, notices=None, event_clock=None, routes_version=None, routes=None, log_age_ms=None, routes_age_ms=None, routes_update=None,):
+    def __init__(self, next_offset=None, records=None, notices=None, event_clock=None, routes_version=None, routes=None, log_age_ms=None, routes_age_ms=None, routes_update=None, evacuations_version=None, evacuated_domains=None,):
         self.next_offset = next_offset
         self.records = records
         self.notices = notices
@@ -2323,6 +2339,8 @@
         self.log_age_ms = log_age_ms
         self.routes_age_ms = routes_age_ms
         self.routes_update = routes_update
+        self.evacuations_version = evacuations_version
+        self.evacuated_domains = evacuated_domains
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2384,6 +2402,21 @@
                     self.routes_update = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.evacuations_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.evacuated_domains = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_domains.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2405,8 +2438,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter41 in self.notices:
-                iter41.write(oprot)
+            for iter47 in self.notices:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.event_clock is not None:
@@ -2433,6 +2466,17 @@
             oprot.writeFieldBegin('routes_update', TType.STRING, 9)
             oprot.writeBinary(self.routes_update)
             oprot.writeFieldEnd()
+        if self.evacuations_version is not None:
+            oprot.writeFieldBegin('evacuations_version', TType.I64, 10)
+            oprot.writeI64(self.evacuations_version)
+            oprot.writeFieldEnd()
+        if self.evacuated_domains is not None:
+            oprot.writeFieldBegin('evacuated_domains', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated_domains))
+            for iter48 in self.evacuated_domains:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2762,22 +2806,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.slices = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = SliceLoad()
-                        _elem47.read(iprot)
-                        self.slices.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = SliceLoad()
+                        _elem54.read(iprot)
+                        self.slices.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = HotKey()
-                        _elem53.read(iprot)
-                        self.hot_keys.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = HotKey()
+                        _elem60.read(iprot)
+                        self.hot_keys.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2832,15 +2876,15 @@
         if self.slices is not None:
             oprot.writeFieldBegin('slices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.slices))
-            for iter54 in self.slices:
-                iter54.write(oprot)
+            for iter61 in self.slices:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter55 in self.hot_keys:
-                iter55.write(oprot)
+            for iter62 in self.hot_keys:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy_fraction is not None:
@@ -3163,6 +3207,7 @@
     (8, TType.STRING, 'host', 'UTF8', None, ),  # 8
     (9, TType.I32, 'peer_port', None, None, ),  # 9
     (10, TType.I32, 'routes_form', None, None, ),  # 10
+    (11, TType.I64, 'evacuations_version', None, None, ),  # 11
 )
 all_structs.append(ExchangeReply)
 ExchangeReply.thrift_spec = (
@@ -3176,6 +3221,8 @@
     (7, TType.I32, 'log_age_ms', None, None, ),  # 7
     (8, TType.I32, 'routes_age_ms', None, None, ),  # 8
     (9, TType.STRING, 'routes_update', 'BINARY', None, ),  # 9
+    (10, TType.I64, 'evacuations_version', None, None, ),  # 10
+    (11, TType.LIST, 'evacuated_domains', (TType.STRING, 'UTF8', False), None, ),  # 11
 )
 all_structs.append(SliceLoad)
 SliceLoad.thrift_spec = (
--- a/comfreywharf_dev/standins/fleet.py
+++ b/comfreywharf_dev/standins/fleet.py
@@ -11,6 +11,7 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.membership.evacuation_watch import EvacuationWatch
 from comfreywharf.daemon.membership.gossip import Gossip
 from comfreywharf.daemon.membership.gossip_calls import GossipCalls
 from comfreywharf.daemon.membership.notices import Notices
@@ -20,6 +21,7 @@
 from comfreywharf.daemon.records.logclient import LogClient
 from comfreywharf.daemon.records.snapshots import SnapshotWriter
 from comfreywharf.daemon.requests.routes import Routes
+from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.metrics import Metrics
 from comfreywharf.records import ConfigPatched, NodeAnnounced, ServiceConfig
 from comfreywharf.settings.model import Address
@@ -30,6 +32,7 @@
 __all__ = ["FleetNode", "LogFleet", "make_patch", "wait_for"]
 
 STREAM = "comfreywharf"
+EVACUATE_S = 5.0
 CLOSED_PORT = 1
 """A port without a listener, given as the log's port to nodes that are cut off."""
 
@@ -81,6 +84,8 @@
         self.peers = Peers(self.follower, self.reporter)
         self.notices = Notices()
         self.routes = Routes()
+        self.evacuations = Evacuations(EVACUATE_S)
+        self.evacuation_watch = EvacuationWatch(self)
         self.metrics = Metrics()
         self.gossip = Gossip(self, rng)
         self.snapshots = SnapshotWriter(node_id, self.follower, self.report)
--- a/comfreywharf_dev/standins/platform_store.py
+++ b/comfreywharf_dev/standins/platform_store.py
@@ -36,7 +36,10 @@
             self.records.append(data)
             if self.keyed:
                 key, value = data[1 : 1 + data[0]].decode(), data[1 + data[0] :]
-                self.newest[key] = (value, offset + index)
+                if value:
+                    self.newest[key] = (value, offset + index)
+                else:
+                    self.newest.pop(key, None)
         changed, self.changed = self.changed, Event()
         changed.set()
         return offset
@@ -79,6 +82,10 @@
         value = orjson.dumps(document)
         self.topic(name).append([bytes([len(key)]) + key.encode() + value])
 
+    def remove(self, name, key):
+        """Drop a key as the operator does, by a record without a value."""
+        self.topic(name).append([bytes([len(key)]) + key.encode()])
+
     def expire_records(self, name):
         """Drop a topic's records, but keep the newest of each key."""
         topic = self.topic(name)
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -170,7 +170,8 @@
   7: required i32 wait_ms,             // how long the answer may wait for new records
   8: required string host,             // the address of the sender's peer port
   9: required i32 peer_port,
-  10: optional i32 routes_form         // 1: reads whole updates, 2: deltas as well
+  10: optional i32 routes_form,        // 1: reads whole updates, 2: deltas as well
+  11: optional i64 evacuations_version // unset: the sender knows none
 }
 
 struct ExchangeReply {
@@ -182,7 +183,9 @@
   6: required binary routes,           // empty unless the requester's are older
   7: required i32 log_age_ms,          // since the log confirmed the fold; -1: never
   8: required i32 routes_age_ms,       // the same for the routes
-  9: optional binary routes_update     // in place of routes, if routes_form is named
+  9: optional binary routes_update,    // in place of routes, if routes_form is named
+  10: optional i64 evacuations_version, // unset: the sender knows none
+  11: optional list<string> evacuated_domains // unset if the requester's are as new
 }
 
 struct SliceLoad {
