--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -21,7 +21,7 @@
 _ABSENT = frozenset({Reason.NO_BACKEND, Reason.PEER_UNREACHABLE, Reason.DRAINING})
 """Refusals that show that a member or its backend server is absent."""
 
-_NO_ROOM = frozenset({Reason.BACKEND_COLD.value})
+_NO_ROOM = frozenset({Reason.OVERLOADED.value, Reason.BACKEND_COLD.value})
 """Refusals for lack of room at the backend server."""
 
 _FAILURES = frozenset(
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -91,3 +91,13 @@
     later_s = now_s + COLD_START_S + 0.01
     monkeypatch.setattr(members_module, "boottime_s", lambda: later_s)
     assert chosen_fraction(members, "a") > 0.25
+
+
+def test_a_refusal_for_lack_of_room_counts_against_its_member():
+    """Guards against a near server that is preferred though it refuses its requests."""
+    members = make_members(entry("a", "files", "10.0.0.4", 5))
+    members.choose("files")
+    members.record_outcome(
+        members.record_sent("files", "a"), refusal(Reason.OVERLOADED)
+    )
+    assert members._services["files"].members["a"].refused_fraction > 0
