Pass a request on from a full server instead of letting it wait there

Its senders choose by latencies that each has measured seconds ago, so that calls fail in one server's queue while others have free slots; each lookup needs two calls.

Change: a request for a service without keys says how long it may wait for a slot, a quarter of its time left; a server at which it would wait longer refuses it, and it is passed on twice at most before it waits. No server was reached, so that this is no retry. Where there is no other server it waits where it is; suspects stay where they are; a body isn't sent before.

--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -165,6 +165,7 @@
 
 def _ticket(request, flow, deadline_s, alone, now_s):
     target_s = now_s + request.target_ms / 1000 if request.target_ms else None
+    max_wait_ms = request.max_wait_ms
     ticket = Ticket(
         flow=flow,
         deadline_s=deadline_s,
@@ -173,6 +174,7 @@
         rank=request.priority,
         kind=work_kind(request),
         target_s=target_s,
+        max_wait_s=None if max_wait_ms is None else max_wait_ms / 1000,
     )
     if request.target_ms == TARGET_PASSED_MS:
         # The request was refused before, and its latency target has passed. It gets
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -114,11 +114,15 @@
         if refused is not None:
             return refused, None
         target = self._first_target(call)
-        reply, body_stream = self._send_measured(target, call)
+        # A suspect runs at its designated member only.
+        passes = self._limits.passes if self._node.load.is_suspect(request) else 0
+        reply, body_stream = self._send_measured(target, call, passes)
         self._node.load.record_reply(request, call.body, reply)
         if not reply.reason or reply.outcome != Outcome.NOT_RUN:
             return reply, body_stream
-        progress = RouteProgress(target=target, retries_left=request.retries_left)
+        progress = RouteProgress(
+            target=target, retries_left=request.retries_left, passes=passes
+        )
         return self._follow_decisions(call, progress, reply, budget)
 
     def _follow_decisions(self, call, progress, reply, budget):
@@ -141,7 +145,9 @@
                 return refusal(Reason.CALLER_GONE_BEFORE_START), None
             call.request.retries_left = progress.retries_left
             tried.add(progress.target)
-            reply, body_stream = self._send_measured(progress.target, call)
+            reply, body_stream = self._send_measured(
+                progress.target, call, progress.passes
+            )
         if reply.outcome == Outcome.NOT_RUN and reply.status == 503:
             reply.retry_after_ms = reply.retry_after_ms or self._limits.retry_after_ms
         return reply, body_stream
@@ -202,9 +208,11 @@
             changed, self._fold_changed = self._fold_changed, Event()
             changed.set()
 
-    def _send_measured(self, target, call):
+    def _send_measured(self, target, call, passes):
         if call.request.key:
             return self._send(target, call)
+        remaining_ms = int((call.deadline_s - boottime_s()) * 1000)
+        call.request.max_wait_ms = self._limits.max_wait_ms(passes, remaining_ms)
         members = self._node.load.members
         sent = members.record_sent(call.service.name, target)
         reply = None
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -178,6 +178,8 @@
         slot.refused = _refusal_before_body(slot, running, admission, 0)
         if slot.refused is not None:
             return
+        # Its body would be sent again if it were passed on from here.
+        slot.request.max_wait_ms = None
         size_bytes = slot.request.body_bytes
         slot.body = collect(slot.body, size_bytes, running.deadline_s)
 
@@ -272,6 +274,10 @@
             request.headers.append(Header(name=SUSPECT_HEADER, value="1"))
         return None
 
+    def is_suspect(self, request):
+        """Return whether `refuse_condemned` marked a request as a suspect."""
+        return not self.quarantine.is_empty() and _is_marked(request)
+
     def record_reply(self, request, body, reply):
         """Update the quarantine with the reply that an ingress node got for a request.
 
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -218,7 +218,9 @@
     if not ahead and not state.queue and _slot_available(state, now_s):
         served = not _misses_deadline(state, ticket, sent_s)
     else:
-        served = _meets_deadline_queued(state, ticket, sent_s)
+        served = not _waits_too_long(
+            state, ticket, now_s, ahead
+        ) and _meets_deadline_queued(state, ticket, sent_s)
     return None if served else _shed_for_lack_of_room(state, ticket, now_s)
 
 
@@ -235,7 +237,9 @@
         if _misses_deadline(state, ticket, now_s):
             return [_shed(state, ticket, Reason.DEADLINE_BEFORE_START, now_s)]
         return [_begin(state, ticket, now_s)]
-    if not _meets_deadline_queued(state, ticket, now_s):
+    if _waits_too_long(state, ticket, now_s) or not _meets_deadline_queued(
+        state, ticket, now_s
+    ):
         return [_shed_for_lack_of_room(state, ticket, now_s)]
     state.queue.push(ticket)
     actions = []
@@ -245,6 +249,14 @@
     return actions + _begin_next(state, now_s)
 
 
+def _waits_too_long(state, ticket, now_s, bodies_ahead=0):
+    """Return whether a request may find a slot sooner at another server."""
+    if ticket.max_wait_s is None:
+        return False
+    ahead = state.queue.ahead_of(ticket) + bodies_ahead + 1
+    return state.wait_s(ahead, now_s) > ticket.max_wait_s
+
+
 def _arrive_suspect(state, ticket, now_s):
     if len(state.waiting_suspects) >= MAX_WAITING_SUSPECTS:
         return [_shed(state, ticket, Reason.OVERLOADED, now_s)]
--- a/comfreywharf/load/fairqueue.py
+++ b/comfreywharf/load/fairqueue.py
@@ -25,7 +25,8 @@
     divided by key. An ``alone`` request is suspected of crashing backend servers
     and runs beside no other. ``rank`` 0 is the most urgent. Requests of one
     ``kind`` take about the same time. After ``target_s``, the latency target, an
-    answer is worth less; ``None`` means that there is no target.
+    answer is worth less; ``None`` means that there is no target. A request that would
+    wait longer than ``max_wait_s`` is refused: another server may be free.
     """
 
     flow: object
@@ -35,6 +36,7 @@
     rank: int = 0
     kind: object = None
     target_s: float | None = None
+    max_wait_s: float | None = None
     started_s: float | None = None
     late: bool = False
 
--- a/comfreywharf/load/tests/test_admission.py
+++ b/comfreywharf/load/tests/test_admission.py
@@ -14,6 +14,7 @@
     Shed,
     TimePassed,
     decide,
+    shed_before_body,
 )
 from comfreywharf.load.limits import COLD_FRACTION, ConcurrencyLimit
 from comfreywharf.load.tests.builders import admission_state, make_ticket
@@ -222,3 +223,19 @@
     for _ in range(100):
         state.limit.record_answer()
     assert state.limit.max_in_flight() == 10
+
+
+def test_a_request_that_may_be_passed_on_is_refused_instead_of_a_long_wait():
+    """Guards against calls that fail in one server's queue while others are idle."""
+    state = admission_state(slots=1, queue_length=8)
+    state.times.add(0.2, now_s=0.0)
+    decide(state, Arrived(make_ticket(now_s=0.0, patience_s=5.0)), 0.0)
+    waits = make_ticket(now_s=0.0, patience_s=5.0)
+    assert decide(state, Arrived(waits), 0.0) == []
+    passed_on = make_ticket(now_s=0.0, patience_s=5.0)
+    passed_on.max_wait_s = 0.1
+    (shed,) = decide(state, Arrived(passed_on), 0.0)
+    assert isinstance(shed, Shed) and shed.reason is Reason.OVERLOADED
+    assert shed_before_body(state, passed_on, 0, 0.0) is not None
+    passed_on.max_wait_s = 1.0
+    assert decide(state, Arrived(passed_on), 0.0) == []
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -76,6 +76,10 @@
     owner's server refused is sent there up to ``resends`` more times, within the
     retry budget. A request goes on from up to ``unreached_members`` unavailable
     members before such a send counts as a retry.
+
+    A request for a service that isn't divided by key is passed on up to ``passes``
+    times by members at which it would wait for a slot for more than a fraction
+    ``max_wait_fraction`` of its time left. It waits at the last one.
     """
 
     holds: int = 48
@@ -87,6 +91,18 @@
     retry_burst: float = 20.0
     resends: int = 0
     unreached_members: int = 3
+    passes: int = 2
+    max_wait_fraction: float = 0.25
+
+    def max_wait_ms(self, passes, remaining_ms):
+        """Return how long a request may wait at its next member; ``None`` if it may.
+
+        >>> RouteLimits().max_wait_ms(0, 1000), RouteLimits().max_wait_ms(2, 1000)
+        (250, None)
+        """
+        if passes >= self.passes:
+            return None
+        return int(self.max_wait_fraction * remaining_ms)
 
 
 @attrs.frozen(kw_only=True)
@@ -124,6 +140,7 @@
     held_since_s: float | None = None
     resends: int = 0
     unreached_members: int = 0
+    passes: int = 0
 
 
 @attrs.frozen
@@ -191,11 +208,23 @@
         if target:
             return Send(attrs.evolve(progress, target=target))
         return _hold(progress, now_s, deadline_s, limits)
+    if reason is Reason.OVERLOADED and progress.passes < limits.passes:
+        return _pass_on(progress, other_member, limits)
     if reason not in _OTHER_MEMBER_MAY_SERVE or not other_member:
         return GiveUp()
     return _send_to_other(progress, reason, other_member, limits)
 
 
+def _pass_on(progress, other_member, limits):
+    """Send to another member or, if there is none, wait at the one that refused.
+
+    No backend server received the request, so that this isn't a retry.
+    """
+    if not other_member:
+        return Send(attrs.evolve(progress, passes=limits.passes))
+    return Send(attrs.evolve(progress, target=other_member, passes=progress.passes + 1))
+
+
 def _send_to_other(progress, reason, other_member, limits):
     progress = attrs.evolve(progress, target=other_member)
     if (
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -140,6 +140,7 @@
      - body_mark
      - body_bytes
      - sent_ms
+     - max_wait_ms
 
     """
 
@@ -163,10 +164,11 @@
         'body_mark',
         'body_bytes',
         'sent_ms',
+        'max_wait_ms',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0,):
+    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0, max_wait_ms=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -186,6 +188,7 @@
         self.body_mark = body_mark
         self.body_bytes = body_bytes
         self.sent_ms = sent_ms
+        self.max_wait_ms = max_wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -297,6 +300,11 @@
                     self.sent_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.max_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -386,6 +394,10 @@
             oprot.writeFieldBegin('sent_ms', TType.I64, 19)
             oprot.writeI64(self.sent_ms)
             oprot.writeFieldEnd()
+        if self.max_wait_ms is not None:
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 20)
+            oprot.writeI32(self.max_wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3078,6 +3090,7 @@
     (17, TType.I64, 'body_mark', None, 0, ),  # 17
     (18, TType.I64, 'body_bytes', None, -1, ),  # 18
     (19, TType.I64, 'sent_ms', None, 0, ),  # 19
+    (20, TType.I32, 'max_wait_ms', None, None, ),  # 20
 )
 all_structs.append(UploadOpened)
 UploadOpened.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -41,7 +41,8 @@
   17: required i64 body_mark = 0,      // compared between resends of one request id
   18: required i64 body_bytes = -1,    // its length; -1: unknown
   // By the sender's clock; the receiver compares it only with earlier values:
-  19: required i64 sent_ms = 0         // 0: unknown
+  19: required i64 sent_ms = 0,        // 0: unknown
+  20: optional i32 max_wait_ms         // refuse it if it would wait longer for a slot
 }
 
 struct UploadOpened {
