Bound a cold server also if the routes come after its heartbeat

Cause: what a cold server bears stands in the routes, and was looked up when a heartbeat came. A node that starts beside a server hears from it before it has the routes, so that nothing was bounded until the next heartbeat, 0.87 s later.

Change: the terms are looked up again with each new table of routes. The test failed before.

--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -66,6 +66,8 @@
         self._random = random.Random(f"load {node.settings.node_id} {node.incarnation}")
         self._admission = None
         self.cold = ColdLimit(began_s=node.process_start_s)
+        self._backend_service = ""
+        node.routes.subscribe(lambda table: self._update_cold_terms())
         window_s = node.ports.placement.hot_window_s
         self._hot = HotKeys(boottime_s(), window_s)
         self._shed_count = 0
@@ -89,9 +91,8 @@
         """Record for how long the backend server reports that it stays cold."""
         now_s = boottime_s()
         was_cold = self.cold.is_cold(now_s)
-        self.cold.terms = self._node.ports.cold_terms(
-            self._node.routes.table.service(service)
-        )
+        self._backend_service = service
+        self._update_cold_terms()
         self.cold.set_cold(remaining_s, now_s)
         if self.cold.is_cold(now_s) and not was_cold:
             self._node.report(
@@ -101,6 +102,11 @@
                 requests_per_s=self.cold.terms.requests_per_s,
             )
 
+    def _update_cold_terms(self):
+        """Apply the terms of the routes, which a node may receive after a heartbeat."""
+        service = self._node.routes.table.service(self._backend_service)
+        self.cold.terms = self._node.ports.cold_terms(service)
+
     def _begin_admission(self):
         if self._admission is not None:
             self._admission.close()
--- a/comfreywharf/platform/tests/test_cold_servers.py
+++ b/comfreywharf/platform/tests/test_cold_servers.py
@@ -22,6 +22,19 @@
     wait_for(lambda: limit.is_cold(boottime_s()))
 
 
+def test_a_bound_that_is_received_after_the_heartbeat_holds_at_once(deployment):
+    """Guards against a new node whose cold server is unbounded for a heartbeat."""
+    server, node = deployment.servers["n3"], deployment.nodes["n3"]
+    server.cold_s = 60.0
+    wait_for(lambda: node.load.cold._cold_until_s > boottime_s())
+    server.heartbeats_off = True
+    document = configuration(version=2)
+    document["services"]["stock"]["coldPerS"] = COLD_PER_S
+    deployment.store.put("keyed.op", "config", document)
+    wait_for(lambda: node.routes.version == 2)
+    assert node.load.cold.is_cold(boottime_s())
+
+
 def most_allowed(elapsed_s):
     """Return how many requests a cold server may have got within some seconds."""
     return COLD_PER_S * (elapsed_s + 1)
