--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -67,6 +67,7 @@
         self._admission = None
         self.cold = ColdLimit(began_s=node.process_start_s)
         self._backend_service = ""
+        self._bounded = False
         node.routes.subscribe(lambda table: self._update_cold_terms())
         window_s = node.ports.placement.hot_window_s
         self._hot = HotKeys(boottime_s(), window_s)
@@ -89,23 +90,23 @@
 
     def record_cold(self, service, remaining_s):
         """Record for how long the backend server reports that it stays cold."""
-        now_s = boottime_s()
-        was_cold = self.cold.is_cold(now_s)
         self._backend_service = service
+        self.cold.set_cold(remaining_s, boottime_s())
         self._update_cold_terms()
-        self.cold.set_cold(remaining_s, now_s)
-        if self.cold.is_cold(now_s) and not was_cold:
-            self._node.report(
-                "backend_cold",
-                service=service,
-                remaining_ms=int(remaining_s * 1000),
-                requests_per_s=self.cold.terms.requests_per_s,
-            )
 
     def _update_cold_terms(self):
         """Apply the terms of the routes, which a node may receive after a heartbeat."""
         service = self._node.routes.table.service(self._backend_service)
         self.cold.terms = self._node.ports.cold_terms(service)
+        was_bounded, self._bounded = self._bounded, self.cold.is_cold(boottime_s())
+        if self._bounded and not was_bounded:
+            remaining_s = self.cold.cold_left_s(boottime_s())
+            self._node.report(
+                "backend_cold",
+                service=self._backend_service,
+                remaining_ms=int(remaining_s * 1000),
+                requests_per_s=self.cold.terms.requests_per_s,
+            )
 
     def _begin_admission(self):
         if self._admission is not None:
--- a/comfreywharf/platform/tests/test_cold_servers.py
+++ b/comfreywharf/platform/tests/test_cold_servers.py
@@ -33,6 +33,7 @@
     deployment.store.put("keyed.op", "config", document)
     wait_for(lambda: node.routes.version == 2)
     assert node.load.cold.is_cold(boottime_s())
+    assert [e for e in node.events.since(0) if e.name == "backend_cold"]
 
 
 def most_allowed(elapsed_s):
