--- a/comfreywharf/daemon/ownership/key_grants.py
+++ b/comfreywharf/daemon/ownership/key_grants.py
@@ -163,15 +163,15 @@
         """Handle the end of the backend server, which no longer holds any key."""
         self.book.clear()
 
-    def _serving(self):
+    def _iterate_served(self):
         table, state = self._node.leases.table, self._node.follower.state
         return table.serving(state, boottime_s())
 
     def _served(self):
-        return list(self._serving())
+        return list(self._iterate_served())
 
     def _serves_any(self):
-        return any(True for _ in self._serving())
+        return any(True for _ in self._iterate_served())
 
     def _reacquire_lease(self, reason):
         """Reacquire the lease, to get fences above those of any earlier process.
