--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -174,7 +174,7 @@
         return self.kind_times.get(kind, self.times).typical_s(now_s)
 
     def wait_s(self, ahead, now_s):
-        """Return how long a request waits behind ``ahead`` others, in seconds."""
+        """Return the wait in seconds of the request at place ``ahead`` of a queue."""
         slots_wait_s = self.times.wait_s(ahead, self.limit.max_in_flight(), now_s)
         return max(slots_wait_s, self.cold.wait_s(ahead, now_s))
 
--- a/comfreywharf/load/coldstart.py
+++ b/comfreywharf/load/coldstart.py
@@ -110,7 +110,7 @@
         self._permits.discard(permit)
 
     def wait_s(self, ahead, now_s):
-        """Return how long the request behind ``ahead - 1`` others waits at least."""
+        """Return how long the request at place ``ahead`` of a queue waits at least."""
         if not self.is_cold(now_s):
             return 0.0
         opens_s = min(self._opens_s(ahead, now_s), self._cold_until_s)
