Report names in the platform's messages that the adapter doesn't know

What callers saw: requests went on to a server that had named a limit, and no node's output showed that an answer carried a header which the adapter has no word for. The lines couldn't tell whether the limit is unknown, known at one node, or counted wrongly.

Change: headers of servers' and the store's answers, and fields of heartbeats and of the configuration, are compared with the names that the adapter knows. They change nothing, as before. Unknown fields of the settings file aren't reported: the platform writes many that belong to other matters.

Tests through the stand-ins, which can now send further headers and fields.

--- a/comfreywharf/daemon/connections/http.py
+++ b/comfreywharf/daemon/connections/http.py
@@ -118,6 +118,11 @@
         """Return whether the answer was read to its end."""
         return self._whole
 
+    @property
+    def header_names(self):
+        """Return the names of the answer's headers, in lower case, as a set."""
+        return self._headers_index.keys()
+
     @property
     def buffered_bytes(self):
         """Return how many bytes of the body were received but not returned yet."""
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -81,7 +81,7 @@
         self.events = self.reporter.events
         self.decisions = Decisions(self, self.ports.make_line_writer())
         self.backend = None
-        client = self.ports.make_log_client()
+        client = self.ports.make_log_client(self)
         self.follower = Follower(
             client,
             settings.log_stream,
@@ -286,7 +286,7 @@
         self.closed_to_new_work = False
         self._port_refused = False
         self._backend_leaving = False
-        self.backend = self.ports.make_backend(announcement)
+        self.backend = self.ports.make_backend(self, announcement)
         self.report(
             "backend_announced",
             name=announcement.name,
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -67,12 +67,12 @@
         """Return the `Dialect` of requests to backend servers."""
 
     @abstractmethod
-    def make_log_client(self):
-        """Return the client of the log service."""
+    def make_log_client(self, node):
+        """Return a node's client of the log service."""
 
     @abstractmethod
-    def make_backend(self, announcement):
-        """Return the `Backend` of an `Announcement`."""
+    def make_backend(self, node, announcement):
+        """Return the `Backend` of an `Announcement` beside a node."""
 
     @abstractmethod
     def make_grants(self, node):
@@ -129,11 +129,11 @@
         """Return the project's own dialect."""
         return self._dialect
 
-    def make_log_client(self):
+    def make_log_client(self, node):
         """Return the client of the log service that the settings name."""
         return LogClient(self._settings.log.host, self._settings.log.port)
 
-    def make_backend(self, announcement):
+    def make_backend(self, node, announcement):
         """Return the announced backend server."""
         return Backend(announcement)
 
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -129,6 +129,13 @@
             "events",
             "Events of the catalogue that this node reported",
         ),
+        _family(
+            "unknown_names_total",
+            _COUNTER,
+            "message",
+            "events",
+            "Headers and fields of the platform's messages that aren't known here",
+        ),
         _family("log_reachable", _GAUGE, "", "log", "1 while the log service answers"),
         _family(
             "log_calls_total",
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -70,6 +70,7 @@
         self.lateness = Buckets()
         self.unreadable_routes = 0
         self.damaged_evacuations = 0
+        self.unknown_names = defaultdict(int)
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -100,6 +101,10 @@
         """Count an order to evacuate that can't be read or names no known domain."""
         self.damaged_evacuations += 1
 
+    def unknown_name_read(self, message):
+        """Count a name that isn't known, in a message of the platform."""
+        self.unknown_names[message] += 1
+
     def unreadable_routes_received(self):
         """Count routes of a peer that couldn't be applied."""
         self.unreadable_routes += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -87,6 +87,7 @@
         "routes_age_seconds": _unlabelled(gauges.routes_age_s),
         "unreadable_routes_total": _unlabelled(metrics.unreadable_routes),
         "damaged_evacuations_total": _unlabelled(metrics.damaged_evacuations),
+        "unknown_names_total": _with_one_label(metrics.unknown_names),
         "evacuated_domains": _unlabelled(gauges.evacuated_domains),
         "evacuation_slices": _unlabelled(gauges.evacuation_slices),
         "loop_late_seconds": _unlabelled(metrics.lateness),
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -43,6 +43,7 @@
     metrics.backend_request_sent(service)
     metrics.loop_woke(0.003)
     metrics.event_reported("lease_lapsed", "warning")
+    metrics.unknown_name_read("heartbeat")
     return metrics
 
 
--- a/comfreywharf/platform/announcements.py
+++ b/comfreywharf/platform/announcements.py
@@ -56,6 +56,7 @@
 
     The server stays cold for ``cold_s`` after it was sent; 0 means that it is warm.
     ``held`` is ``None`` if the heartbeat doesn't list the keys that are held.
+    ``field_names`` are the names of all its fields.
     """
 
     announcement: Announcement
@@ -64,6 +65,7 @@
     cold_s: float = 0.0
     held: tuple[HeldRange, ...] | None = None
     released: tuple[ReleasedRange, ...] = ()
+    field_names: frozenset[str] = frozenset()
 
 
 def read_heartbeat(instance, body):
@@ -104,6 +106,7 @@
         cold_s=cold_s,
         held=_held(fields) if "holds" in fields else None,
         released=_released(fields) if "released" in fields else (),
+        field_names=frozenset(fields),
     )
 
 
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -14,6 +14,7 @@
 from comfreywharf.daemon.servers.backend import Backend, CancelReply
 from comfreywharf.ownership.holds import GrantAnswer
 from comfreywharf.platform.durations import duration_text
+from comfreywharf.platform.unknown_names import MessageKind
 from comfreywharf.routing import Reason
 
 __all__ = ["PlatformBackend", "PlatformDialect", "PlatformOrders"]
@@ -154,8 +155,9 @@
 class PlatformBackend(Backend):
     """The backend server beside this node; it is probed at ``health_path()``."""
 
-    def __init__(self, announcement, health_path):
+    def __init__(self, announcement, health_path, unknown_names):
         super().__init__(announcement)
+        self._unknown_names = unknown_names
         self.orders = PlatformOrders(announcement.host, announcement.port, health_path)
 
     @property
@@ -189,6 +191,7 @@
         response.keeps_connection = False
         if response.whole:
             response.release()
+        self._unknown_names.check(MessageKind.SERVER_ANSWER, response.header_names)
         return response
 
     def cancel(self, attempt_id, request_id):
--- a/comfreywharf/platform/configuration.py
+++ b/comfreywharf/platform/configuration.py
@@ -13,6 +13,7 @@
     complete_at_s,
 )
 from comfreywharf.platform.durations import duration_s
+from comfreywharf.platform.unknown_names import MessageKind
 from comfreywharf.routes import (
     CallerLimits,
     GrantWay,
@@ -23,7 +24,7 @@
 )
 from comfreywharf.ticks import sleep_to_tick
 
-__all__ = ["ConfigurationReader", "route_table"]
+__all__ = ["ConfigurationReader", "configuration_names", "route_table"]
 
 TOPIC = "keyed.op"
 KEY = "config"
@@ -66,6 +67,20 @@
         raise ValueError(f"{TOPIC}/{KEY}: {error!r}") from error
 
 
+def configuration_names(document):
+    """Return the names of all fields in a configuration that `route_table` reads.
+
+    >>> names = configuration_names(b'{"version": 1, "routes": {"r": {"host": "h"}}}')
+    >>> sorted(names)
+    ['host', 'routes', 'version']
+    """
+    fields = orjson.loads(document)
+    entries = [fields, fields.get("limits", {})]
+    for name in ("routes", "services"):
+        entries += fields.get(name, {}).values()
+    return frozenset().union(*entries)
+
+
 def _ms(text):
     return round(duration_s(text) * 1000)
 
@@ -182,8 +197,9 @@
     relayed, it receives all of this from a peer and doesn't read the store.
     """
 
-    def __init__(self, store, node, known_zones):
+    def __init__(self, store, node, known_zones, unknown_names):
         self._store = store
+        self._unknown_names = unknown_names
         self._node = node
         self._routes = node.routes
         self._report = node.report
@@ -238,5 +254,8 @@
             # A broken record must neither stop the node nor remove its routes.
             self._report("bad_routes", error=str(error))
             return
+        self._unknown_names.check(
+            MessageKind.CONFIGURATION, configuration_names(document)
+        )
         if self._routes.apply(table):
             self._report("routes_in_force", version=table.version, source="store")
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -13,6 +13,7 @@
     read_heartbeat,
 )
 from comfreywharf.platform.durations import duration_text
+from comfreywharf.platform.unknown_names import MessageKind
 
 __all__ = ["HOLD_LIST_LIMIT", "HeartbeatPort", "hold_list_fields"]
 
@@ -33,8 +34,9 @@
     services are accepted if the configuration has the service.
     """
 
-    def __init__(self, node, lifecycle, address, service):
+    def __init__(self, node, lifecycle, address, service, unknown_names):
         self._node = node
+        self._unknown_names = unknown_names
         self._lifecycle = lifecycle
         self._service = service
         self._server = NodelayServer(address.host, address.port, self._answer)
@@ -73,6 +75,7 @@
             self._lifecycle.receive_deregistration(read_deregistration(instance, body))
             return {}
         heartbeat = read_heartbeat(instance, body)
+        self._unknown_names.check(MessageKind.HEARTBEAT, heartbeat.field_names)
         service = heartbeat.announcement.service
         self._check_service(service)
         is_current = self._lifecycle.receive_heartbeat(
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -28,6 +28,7 @@
 from comfreywharf.platform.configuration import ConfigurationReader
 from comfreywharf.platform.heartbeats import HOLD_LIST_LIMIT, HeartbeatPort
 from comfreywharf.platform.store import Store, StoreLog
+from comfreywharf.platform.unknown_names import UnknownNames
 from comfreywharf.routes import GrantWay
 from comfreywharf.routing import RouteLimits
 
@@ -110,20 +111,25 @@
         self.caller_server = None
         self.lifecycle = None
         self._routes = None
+        self._unknown_names = None
 
     @property
     def dialect(self):
         """Return the platform's dialect."""
         return self._dialect
 
-    def make_log_client(self):
+    def make_log_client(self, node):
         """Return the client of the record log in the store."""
+        self._unknown_names = UnknownNames(node.report, node.metrics)
+        self.store.unknown_names = self._unknown_names
         return StoreLog(self.store)
 
-    def make_backend(self, announcement):
+    def make_backend(self, node, announcement):
         """Return the announced backend server."""
         return PlatformBackend(
-            announcement, lambda: self._health_path(announcement.service)
+            announcement,
+            lambda: self._health_path(announcement.service),
+            self._unknown_names,
         )
 
     def _health_path(self, name):
@@ -165,7 +171,13 @@
         operators = OperatorPort(node)
         return [
             self.caller_server,
-            HeartbeatPort(node, self.lifecycle, settings.heartbeats, settings.service),
+            HeartbeatPort(
+                node,
+                self.lifecycle,
+                settings.heartbeats,
+                settings.service,
+                self._unknown_names,
+            ),
             _ready_server(node, settings.ready),
             operators.make_server(settings.node.host, settings.node.operator_port),
         ]
@@ -216,7 +228,9 @@
 
     def greenlets(self, node):
         """Return the functions that read the configuration and declare its services."""
-        reader = ConfigurationReader(self.store, node, self._settings.zones)
+        reader = ConfigurationReader(
+            self.store, node, self._settings.zones, self._unknown_names
+        )
         return (reader.run, ServiceDeclarer(node).run)
 
     def identify(self, node, announcement):
--- a/comfreywharf/platform/store.py
+++ b/comfreywharf/platform/store.py
@@ -16,6 +16,7 @@
     LogTraffic,
     LogTruncated,
 )
+from comfreywharf.platform.unknown_names import MessageKind
 
 __all__ = ["NewestValues", "Store", "StoreLog", "TopicRecords"]
 
@@ -54,6 +55,7 @@
 
     def __init__(self, address):
         self.traffic = LogTraffic()
+        self.unknown_names = None
         make = SingleSendClient
         settings = {"concurrency": CONCURRENCY, "connect_timeout_s": CONNECT_TIMEOUT_S}
         self._client = make(address.host, address.port, **settings)
@@ -125,6 +127,9 @@
                 response = self._client.request(method, target, body)
                 data = response.read()
             self.traffic.count_answer(data)
+            if self.unknown_names is not None:
+                names = response.header_names
+                self.unknown_names.check(MessageKind.STORE_ANSWER, names)
         except gevent.Timeout as error:
             raise LogError(
                 f"{method} to the store: no answer in {timeout_s} s"
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -13,8 +13,10 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.node import Node
+from comfreywharf.metrics import Metrics
 from comfreywharf.platform.ports import PlatformPorts
 from comfreywharf.platform.settings import read_boot_file
+from comfreywharf.platform.unknown_names import UnknownNames
 from comfreywharf_dev.standins.platform_server import PlatformServer
 from comfreywharf_dev.standins.platform_store import PlatformStore
 
@@ -24,6 +26,7 @@
     "ReceivedAnswer",
     "boot_text",
     "configuration",
+    "unreported_names",
     "wait_for",
 ]
 
@@ -136,6 +139,11 @@
     }
 
 
+def unreported_names():
+    """Return `UnknownNames` whose reports go nowhere."""
+    return UnknownNames(lambda event, **fields: None, Metrics())
+
+
 def wait_for(condition, timeout_s=20.0):
     """Let greenlets run until a condition holds; raises `TimeoutError`."""
     end_s = boottime_s() + timeout_s
--- a/comfreywharf/platform/tests/test_announcements.py
+++ b/comfreywharf/platform/tests/test_announcements.py
@@ -13,6 +13,7 @@
     read_heartbeat,
 )
 from comfreywharf.platform.heartbeats import HeartbeatPort
+from comfreywharf.platform.tests.builders import unreported_names
 from comfreywharf.platform.tests.reports import VALID_FIELDS, damaged_reports, report
 from comfreywharf.routes import RoutedService, RouteTable
 from comfreywharf.settings.model import Address
@@ -141,7 +142,13 @@
         report=lambda name, /, **fields: events.append((name, fields["field"])),
     )
     return (
-        HeartbeatPort(node, lifecycle, Address("127.0.0.1", 0), "booking"),
+        HeartbeatPort(
+            node,
+            lifecycle,
+            Address("127.0.0.1", 0),
+            "booking",
+            unreported_names(),
+        ),
         received,
         events,
     )
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -57,7 +57,8 @@
     status 500, counted in ``outlasted_holds``. Answers carry ``answer_id``, if it is
     set, as the id of the attempt.
     While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
-    report that it stays cold for ``cold_s``.
+    report that it stays cold for ``cold_s``, and have the ``extra_fields``. All answers
+    have the ``extra_headers``.
 
     With ``uses_hold_lists`` it refuses grant and release requests; the answers to its
     heartbeats list the ranges that it holds. The next ``lose_answers`` of these
@@ -88,6 +89,8 @@
         self.answer_id = None
         self.extra_answers = 0
         self.headers = []
+        self.extra_headers = []
+        self.extra_fields = {}
         self.held = []
         self.refused_grants = 0
         self.misdirected = 0
@@ -201,6 +204,7 @@
             "sequence": self._sequence,
             "born": self.born_ms,
             **(self._hold_fields() if self.uses_hold_lists else {}),
+            **self.extra_fields,
         }
 
     def _hold_fields(self):
@@ -283,6 +287,12 @@
         self.held = listed
 
     def _answer(self, environ, start_response):
+        def start_with_extra_headers(status, headers):
+            start_response(status, headers + self.extra_headers)
+
+        return self._answer_call(environ, start_with_extra_headers)
+
+    def _answer_call(self, environ, start_response):
         path = environ["PATH_INFO"]
         body = environ["wsgi.input"].read()
         if self.uses_hold_lists and path in ("/-/grant", "/-/release"):
--- a/comfreywharf_dev/standins/platform_store.py
+++ b/comfreywharf_dev/standins/platform_store.py
@@ -49,12 +49,14 @@
     """Serve the store's calls on a port of loopback.
 
     ``fault`` is ``""``, ``"busy"`` (503), ``"silent"`` (no answer) or ``"lost"``
-    (appends are applied but not answered). ``calls`` counts the requests.
+    (appends are applied but not answered). ``calls`` counts the requests. Each answer
+    has the ``extra_headers``.
     """
 
     def __init__(self):
         self.fault = ""
         self.calls = 0
+        self.extra_headers = []
         self._topics = {}
         self._server = pywsgi.WSGIServer(("127.0.0.1", 0), self._answer, log=None)
 
@@ -92,6 +94,12 @@
         topic.first, topic.records = topic.end, []
 
     def _answer(self, environ, start_response):
+        def start_with_extra_headers(status, headers):
+            start_response(status, headers + self.extra_headers)
+
+        return self._answer_call(environ, start_with_extra_headers)
+
+    def _answer_call(self, environ, start_response):
         self.calls += 1
         if self.fault == "busy":
             return _respond(start_response, 503, b"")
