List two failing tests of servers that name a limit

What callers saw: a server in need that names 24.6 requests a second gets 60 a second.

The tests have a server name 10 requests a second in all its answers while callers at all nodes send some 60 a second.

--- /dev/null
+++ b/comfreywharf/platform/tests/test_limited_servers.py
@@ -0,0 +1,81 @@
+"""Requests to a server that names the number of requests a second that it takes."""
+
+import gevent
+
+from comfreywharf.clock import boottime_s
+
+LIMIT_PER_S = 10.0
+CALLER_PAUSE_S = 0.15
+WINDOW_S = 4.0
+SLACK_REQUESTS = 5
+NODES_KNOW_S = 0.5
+USED_PART = 0.9
+KEY = 7
+
+
+class Callers:
+    """Callers at every node that send requests one after the other until stopped."""
+
+    def __init__(self, deployment, path, key, per_node=3):
+        self.answers = []
+        self._tasks = [
+            gevent.spawn(self._call, deployment, name, path, key)
+            for name in deployment.nodes
+            for _ in range(per_node)
+        ]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        gevent.killall(self._tasks)
+
+    def _call(self, deployment, name, path, key):
+        while True:
+            self.answers.append(deployment.send_request(name, path, key))
+            gevent.sleep(CALLER_PAUSE_S)
+
+
+def begin_limit(deployment, name, limit):
+    """Have a server name a limit in all its answers; return when all nodes know it."""
+    deployment.servers[name].limit = str(limit)
+    gevent.sleep(NODES_KNOW_S)
+    return boottime_s()
+
+
+def run_times_s(deployment, name, since_s):
+    """Return when a server began requests, from a time on."""
+    instance = f"i-{name}"
+    runs = [run.began_s for run in deployment.ledger if run.instance == instance]
+    return sorted(began_s for began_s in runs if began_s >= since_s)
+
+
+def most_in_window(times_s):
+    """Return the most requests in any window of `WINDOW_S`."""
+    return max(
+        sum(start_s <= at_s < start_s + WINDOW_S for at_s in times_s)
+        for start_s in times_s
+    )
+
+
+def test_an_owner_gets_no_more_than_the_limit_that_its_server_names(deployment):
+    """Guards against a server in need that gets requests at the rate of its keys."""
+    owner = deployment.holder(KEY)
+    with Callers(deployment, "/look/1", KEY):
+        gevent.sleep(0.5)
+        since_s = begin_limit(deployment, owner, LIMIT_PER_S)
+        gevent.sleep(WINDOW_S + 1.5)
+    times_s = run_times_s(deployment, owner, since_s)
+    assert most_in_window(times_s) <= LIMIT_PER_S * WINDOW_S + SLACK_REQUESTS
+    assert len(times_s) >= USED_PART * LIMIT_PER_S * (boottime_s() - since_s)
+
+
+def test_a_limited_server_without_keys_gets_no_more_than_its_limit(deployment):
+    """Guards against the same at a service where any server may serve."""
+    with Callers(deployment, "/stock/1", None):
+        gevent.sleep(0.5)
+        since_s = begin_limit(deployment, "n3", LIMIT_PER_S)
+        gevent.sleep(WINDOW_S + 1.5)
+    times_s = run_times_s(deployment, "n3", since_s)
+    assert most_in_window(times_s) <= LIMIT_PER_S * WINDOW_S + SLACK_REQUESTS
+    assert len(times_s) >= USED_PART * LIMIT_PER_S * (boottime_s() - since_s)
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -58,7 +58,7 @@
     set, as the id of the attempt.
     While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
     report that it stays cold for ``cold_s``, and have the ``extra_fields``. All answers
-    have the ``extra_headers``.
+    have the ``extra_headers``, and name the ``limit`` if there is one, as a text.
 
     With ``uses_hold_lists`` it refuses grant and release requests; the answers to its
     heartbeats list the ranges that it holds. The next ``lose_answers`` of these
@@ -90,6 +90,7 @@
         self.extra_answers = 0
         self.headers = []
         self.extra_headers = []
+        self.limit = None
         self.extra_fields = {}
         self.held = []
         self.refused_grants = 0
@@ -288,7 +289,8 @@
 
     def _answer(self, environ, start_response):
         def start_with_extra_headers(status, headers):
-            start_response(status, headers + self.extra_headers)
+            named = [] if self.limit is None else [("Server-Limit", self.limit)]
+            start_response(status, headers + self.extra_headers + named)
 
         return self._answer_call(environ, start_with_extra_headers)
 
