Keep the limit that a backend server names in its answers

What callers saw: a server in need that takes 24.6 requests a second gets 60 a second from nodes that have passed its limit on to callers.

Cause: no part of the code decodes the header. Evidence: the rate at the servers is the same before and after they name their limits, at every node and kind of request; ruled out are a limit known at one node only and one that is counted wrongly, as the rate doesn't change at all.

Change: each answer to a request, an order or a probe is read for a limit. The node beside the server, which alone reaches it, keeps it with a token bucket, counted at sending. Cold servers and limits are two bounds that compose (load/bounds.py): they have other spans and lives. What can't be served within the limit is refused at once as backend-limited, with a Retry-After that isn't before the limit admits anybody. A limit is lifted when answers have named none for 0.2 s; a server that takes nothing is probed every 2 s, so that an answer can lift it. A limit that can't be read changes nothing, is reported once for each start and counted. E513 to E515, two metrics.

--- a/comfreywharf/daemon/connections/bound_pool.py
+++ b/comfreywharf/daemon/connections/bound_pool.py
@@ -37,13 +37,15 @@
     closed. Orders may use up one connection after the other, since at times half of
     them get no answer. The last confirmed connection is therefore reserved for a probe
     request that any process answers, and whose answer confirms new connections;
-    ``probe_target()`` returns the request target of this probe. The last connection
+    ``probe_target()`` returns the request target of this probe, and
+    ``probe_answered(response)`` is called with its answer. The last connection
     carries orders only after a refill has shown that the server accepts no other.
     """
 
-    def __init__(self, host, port, *, probe_target, **settings):
+    def __init__(self, host, port, *, probe_target, probe_answered, **settings):
         super().__init__(host, port, **settings)
         self._probe_target = probe_target
+        self._probe_answered = probe_answered
         self._refilling = None
         self._refill_not_before_s = float("-inf")
 
@@ -102,7 +104,8 @@
             with gevent.Timeout(PROBE_TIMEOUT_S):
                 sock = self._pool.borrow(self._pool.tracker.process, for_probe=True)
                 if sock is not None:
-                    self.exchange(sock, "GET", self._probe_target(), "", b"")
+                    answer = self.exchange(sock, "GET", self._probe_target(), "", b"")
+                    self._probe_answered(answer)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             # The next refill sends another probe, or finds that the process is gone.
             return
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -306,6 +306,7 @@
             if self.backend is None:
                 self._record_refused_as_ended(silent_s)
                 continue
+            self.load.probe_limit(boottime_s())
             limit_s = self.ports.lost_after_s
             if limit_s is not None and silent_s > limit_s:
                 self.backend_lost("silent")
@@ -360,6 +361,12 @@
         self._backend_leaving = True
         self.report("backend_leaves", name=instance)
 
+    def record_statement(self, incarnation, kind, statement):
+        """Apply what an answer of an incarnation of the backend server states."""
+        if self.backend is None or self.backend.announcement.incarnation != incarnation:
+            return
+        self.load.record_limit(kind, statement, boottime_s())
+
     def backend_lost(self, reason):
         """Give up the keys of a backend server that no longer serves."""
         if self.backend is not None:
--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -96,6 +96,7 @@
             owned_slices=dict(node.ownership.owned),
             backend_running_requests=node.forwarder.running,
             backend_slots=node.backend.announcement.slots if node.backend else 0,
+            backend_limit_per_s=node.load.rate_limit.limit_per_s,
             waiting_requests=node.ingress.running,
             streams=node.ingress.streaming,
             lease_held=held,
--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -30,7 +30,7 @@
 """Interval at which the deadlines of waiting requests are checked."""
 
 MIN_TICK_S = 0.002
-"""Shortest interval between two checks while a cold server bounds its requests."""
+"""Shortest interval between two checks while a server's requests are bounded."""
 
 
 class Slot:
@@ -108,7 +108,7 @@
 
     def record_sent(self, slot, now_s):
         """Count a request that is sent to the server now."""
-        self.state.cold.record_sent(slot.ticket, now_s)
+        self.state.bounds.record_sent(slot.ticket, now_s)
 
     def finish(self, slot):
         """Release the slot."""
@@ -134,8 +134,8 @@
             self._apply(decide(self.state, TimePassed(), boottime_s()))
 
     def _tick_s(self, now_s):
-        """Return how long to sleep: until a cold server takes its next request."""
-        opens_in_s = self.state.cold.wait_s(1, now_s)
+        """Return how long to sleep: until a bounded server takes its next request."""
+        opens_in_s = self.state.bounds.wait_s(1, now_s)
         if not opens_in_s:
             return TICK_S
         return min(max(opens_in_s, MIN_TICK_S), TICK_S)
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import attrs
+import gevent
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.requests.admission import Admission, Slot
@@ -16,9 +17,12 @@
 from comfreywharf.daemon.requests.members import Members
 from comfreywharf.daemon.requests.quarantine import NodeQuarantine, request_fingerprint
 from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.servers.statements import AnswerKind
 from comfreywharf.load import HotKeys, Standing
 from comfreywharf.load.admission import AdmissionState, Result
+from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.coldstart import ColdLimit
+from comfreywharf.load.ratelimit import ServerRateLimit
 from comfreywharf.records import ServiceConfig
 from comfreywharf.routing import SAFE_METHODS, Reason
 from comfreywharf.transport.gen.ttypes import Header
@@ -47,6 +51,7 @@
     for reason in (
         Reason.OVERLOADED,
         Reason.BACKEND_COLD,
+        Reason.BACKEND_LIMITED,
         Reason.DEADLINE_BEFORE_START,
     )
 )
@@ -66,7 +71,12 @@
         self._random = random.Random(f"load {node.settings.node_id} {node.incarnation}")
         self._admission = None
         self.cold = ColdLimit(began_s=node.process_start_s)
+        self.rate_limit = ServerRateLimit()
+        self._bounds = ArrivalBounds(self.cold, self.rate_limit)
+        self._orders_name_limit = False
+        self._damaged_limit_reported = False
         self._backend_service = ""
+        self._incarnation = None
         self._bounded = False
         node.routes.subscribe(lambda table: self._update_cold_terms())
         window_s = node.ports.placement.hot_window_s
@@ -82,6 +92,11 @@
     def backend_announced(self):
         """Start a new admission for an instance that has just announced itself."""
         self.quarantine.confirm_crash()
+        incarnation = self._node.backend.announcement.incarnation
+        if incarnation != self._incarnation:
+            self._incarnation = incarnation
+            self._orders_name_limit = self._damaged_limit_reported = False
+            self._report_limit(self.rate_limit.lift())
         self._begin_admission()
 
     def reset_admission(self):
@@ -108,6 +123,52 @@
                 requests_per_s=self.cold.terms.requests_per_s,
             )
 
+    def record_limit(self, kind, statement, now_s):
+        """Apply the limit that an answer of the backend server names, or its absence.
+
+        Answers to orders may never name a limit. Without one they only lift it if an
+        earlier one has named it.
+        """
+        if statement.damaged_limit is not None:
+            self._report_damaged_limit(statement.damaged_limit)
+            return
+        is_order = kind is AnswerKind.ORDER
+        if statement.limit_per_s is not None:
+            self._orders_name_limit |= is_order
+            change = self.rate_limit.record_named(statement.limit_per_s, now_s)
+        elif is_order and not self._orders_name_limit:
+            return
+        else:
+            change = self.rate_limit.record_unnamed(now_s)
+        self._report_limit(change)
+
+    def probe_limit(self, now_s):
+        """Probe a limited server that hasn't answered for a while."""
+        if self._node.backend is not None and self.rate_limit.take_probe(now_s):
+            gevent.spawn(self._node.backend.probe)
+
+    def _report_limit(self, change):
+        if change is None:
+            return
+        service = self._node.backend.announcement.service if self._node.backend else ""
+        if change.after_per_s is None:
+            self._node.report(
+                "limit_lifted", service=service, before_per_s=change.before_per_s
+            )
+        else:
+            self._node.report(
+                "backend_limited",
+                service=service,
+                requests_per_s=change.after_per_s,
+                before_per_s=change.before_per_s,
+            )
+
+    def _report_damaged_limit(self, text):
+        self._node.metrics.damaged_limit_read()
+        if not self._damaged_limit_reported:
+            self._damaged_limit_reported = True
+            self._node.report("damaged_limit", found=text)
+
     def _begin_admission(self):
         if self._admission is not None:
             self._admission.close()
@@ -122,7 +183,7 @@
                 limit,
                 length,
                 self._random,
-                cold=self.cold,
+                bounds=self._bounds,
                 queue=queue,
                 retry_after=self._node.ports.retry_after,
             )
--- a/comfreywharf/daemon/servers/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -187,6 +187,12 @@
         finally:
             _release(response)
 
+    def probe(self):
+        """Ask for an answer, for what it states; the project's own protocol has none.
+
+        The platform's backend overrides this.
+        """
+
     def grant(self, message):
         """Send the fenced grants; return whether the server accepted them."""
         response = None
--- a/comfreywharf/daemon/tests/test_bound_pool.py
+++ b/comfreywharf/daemon/tests/test_bound_pool.py
@@ -76,6 +76,7 @@
         "127.0.0.1",
         server.port,
         probe_target=lambda: "/",
+        probe_answered=lambda response: None,
         concurrency=3,
         connect_timeout_s=WAIT_S,
     )
--- a/comfreywharf/daemon/tests/test_crash_detection.py
+++ b/comfreywharf/daemon/tests/test_crash_detection.py
@@ -16,7 +16,7 @@
 )
 from comfreywharf.ownership.holds import GrantOrder, HoldTerms
 from comfreywharf.platform.backends import PlatformBackend
-from comfreywharf.platform.tests.builders import unreported_names
+from comfreywharf.platform.tests.builders import ignore, unreported_names
 
 SLOW_S = 30.0
 PAUSE_S = 0.2
@@ -49,7 +49,7 @@
     )
     with ScriptedServer(Reply(complete_answer(b""), wait_s=SLOW_S)) as server:
         announced = backend_for(server).announcement
-        backend = PlatformBackend(announced, lambda: "/", unreported_names())
+        backend = PlatformBackend(announced, lambda: "/", unreported_names(), ignore)
         process = backend.orders.connect_to_process()
         granting = gevent.spawn(backend.orders.grant, process, (0, 9), order)
         while not server.requests:
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from comfreywharf.load.coldstart import ColdLimit
+from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.estimates import ServiceTimes
 from comfreywharf.load.fairqueue import FairQueue, RequestQueue, Ticket
 from comfreywharf.load.limits import ConcurrencyLimit
@@ -50,6 +50,10 @@
 """Bounds of the delay before jitter. Callers that retry long after an overload has
 ended keep new callers from being served at their first attempt."""
 
+MAX_BOUNDED_RETRY_AFTER_S = 10.0
+"""The longest delay before callers of a server retry that is bounded. A server may lift
+its limit at any moment."""
+
 RANK_WEIGHT = 0.02
 """Weight of the newest request in the moving shares of the ranks."""
 
@@ -133,11 +137,11 @@
 class AdmissionState:
     """State of one backend server and of the requests that wait for it.
 
-    ``cold`` bounds the requests while the server is cold. ``times`` are the service
-    times of all requests, ``kind_times`` those of each kind. ``shed_fraction`` is the
-    moving fraction of refused requests, ``rank_shares`` the moving shares of the ranks
-    in the started ones. The server has been drained for a suspect since
-    ``suspect_drain_since_s``; no further suspect is started before
+    ``bounds`` bound the requests while the server is cold or names a limit. ``times``
+    are the service times of all requests, ``kind_times`` those of each kind.
+    ``shed_fraction`` is the moving fraction of refused requests, ``rank_shares`` the
+    moving shares of the ranks in the started ones. The server has been drained for a
+    suspect since ``suspect_drain_since_s``; no further suspect is started before
     ``suspect_not_before_s``. Benchmarks and tests set ``fair`` or ``by_deadline`` to
     false to show the effect of the mechanism.
     """
@@ -145,7 +149,7 @@
     limit: ConcurrencyLimit
     queue_length: int
     rng: random.Random
-    cold: ColdLimit = attrs.Factory(lambda: ColdLimit(began_s=float("-inf")))
+    bounds: ArrivalBounds = attrs.Factory(ArrivalBounds)
     times: ServiceTimes = attrs.Factory(ServiceTimes)
     kind_times: dict[object, ServiceTimes] = attrs.Factory(dict)
     queue: RequestQueue = attrs.Factory(FairQueue)
@@ -176,7 +180,7 @@
     def wait_s(self, ahead, now_s):
         """Return the wait in seconds of the request at place ``ahead`` of a queue."""
         slots_wait_s = self.times.wait_s(ahead, self.limit.max_in_flight(), now_s)
-        return max(slots_wait_s, self.cold.wait_s(ahead, now_s))
+        return max(slots_wait_s, self.bounds.wait_s(ahead, now_s))
 
     @property
     def waiting(self):
@@ -271,7 +275,7 @@
         return False
     if len(state.in_flight) >= state.limit.max_in_flight():
         return False
-    return state.cold.is_open(now_s)
+    return state.bounds.is_open(now_s)
 
 
 def _is_flow_at_limit(state, flow):
@@ -363,7 +367,7 @@
     """
     if not state.waiting_suspects or now_s < state.suspect_not_before_s:
         return []
-    if not state.in_flight and state.cold.is_open(now_s):
+    if not state.in_flight and state.bounds.is_open(now_s):
         state.suspect_drain_since_s = None
         ticket = state.waiting_suspects.pop(0)
         if _misses_deadline(state, ticket, now_s):
@@ -390,7 +394,7 @@
 def _begin(state, ticket, now_s):
     ticket.started_s = now_s
     state.in_flight.add(ticket)
-    state.cold.take(ticket, now_s)
+    state.bounds.take(ticket, now_s)
     flows = state.flows_in_flight
     flows[ticket.flow] = flows.get(ticket.flow, 0) + 1
     state.shed_fraction *= 1 - SHED_WEIGHT
@@ -403,7 +407,7 @@
 
 def _finish(state, ticket, result, now_s):
     state.in_flight.remove(ticket)
-    state.cold.end(ticket)
+    state.bounds.end(ticket)
     flows = state.flows_in_flight
     flows[ticket.flow] -= 1
     if not flows[ticket.flow]:
@@ -449,9 +453,8 @@
 
 
 def _shed_for_lack_of_room(state, ticket, now_s):
-    is_cold = state.cold.is_cold(now_s)
-    reason = Reason.BACKEND_COLD if is_cold else Reason.OVERLOADED
-    return _shed(state, ticket, reason, now_s)
+    bound = state.bounds.strictest(now_s)
+    return _shed(state, ticket, bound.reason if bound else Reason.OVERLOADED, now_s)
 
 
 def _shed(state, ticket, reason, now_s):
@@ -469,4 +472,7 @@
     min_s, max_s = state.retry_after.min_s, state.retry_after.max_s
     served = max(1 - state.shed_fraction, min_s / max_s)
     wanted_s = min(max(min_s, drain_s) / served, max_s)
-    return max(wanted_s * state.rng.uniform(0.5, 1.5), min_s)
+    jittered_s = max(wanted_s * state.rng.uniform(0.5, 1.5), min_s)
+    # The server admits nobody sooner, whatever the load is by then.
+    admitted_s = state.bounds.wait_s(state.waiting + 1, now_s)
+    return max(jittered_s, min(admitted_s, MAX_BOUNDED_RETRY_AFTER_S))
--- a/comfreywharf/load/coldstart.py
+++ b/comfreywharf/load/coldstart.py
@@ -10,6 +10,9 @@
 
 import attrs
 
+from comfreywharf.load.bounds import ArrivalBound
+from comfreywharf.routing import Reason
+
 __all__ = ["ColdLimit", "ColdTerms"]
 
 WINDOW_S = 1.0
@@ -47,13 +50,11 @@
 
 
 @attrs.define
-class ColdLimit:
+class ColdLimit(ArrivalBound):
     """Bound the requests to one backend server for as long as it is cold.
 
-    A request takes a permit when it is admitted, and keeps it until it is sent or ends
-    unsent. From then on its time counts, so that requests which waited for a connection
-    can't arrive together beyond the bound. Requests to a warm server are counted too:
-    a server may turn cold at any moment, and reports it late.
+    Requests to a warm server are counted too: a server may turn cold at any moment,
+    and reports it late.
 
     ``terms`` is ``None`` if the service states no bound. An earlier process of the node
     may have used up the window that ends after ``began_s``.
@@ -69,6 +70,8 @@
     True
     """
 
+    reason = Reason.BACKEND_COLD
+
     began_s: float
     terms: ColdTerms | None = None
     _cold_until_s: float = float("-inf")
@@ -83,6 +86,10 @@
         """Return whether the server is cold and its service states a bound."""
         return self.terms is not None and now_s < self._cold_until_s
 
+    def is_active(self, now_s):
+        """Return whether the server is cold and its service states a bound."""
+        return self.is_cold(now_s)
+
     def cold_left_s(self, now_s):
         """Return for how long the server's requests are bounded; 0 if it is warm."""
         return self._cold_until_s - now_s if self.is_cold(now_s) else 0.0
--- a/comfreywharf/load/tests/test_coldstart.py
+++ b/comfreywharf/load/tests/test_coldstart.py
@@ -17,6 +17,7 @@
     TimePassed,
     decide,
 )
+from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.choice import warm_or_cold
 from comfreywharf.load.coldstart import WINDOW_S, ColdLimit, ColdTerms
 from comfreywharf.load.fairqueue import RankedQueue
@@ -58,7 +59,7 @@
             ConcurrencyLimit(slots, ramp_up=False, cut_on_refusal=False),
             512,
             random.Random(1),
-            cold=self.limit,
+            bounds=ArrivalBounds(self.limit),
             queue=RankedQueue(),
             by_deadline=False,
         )
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -97,6 +97,20 @@
         _family(
             "backend_slots", _GAUGE, "", "queue", "Slots of this node's backend server"
         ),
+        _family(
+            "backend_limit_per_second",
+            _GAUGE,
+            "",
+            "queue",
+            "Requests per second that this node's backend server takes while it limits",
+        ),
+        _family(
+            "damaged_limits_total",
+            _COUNTER,
+            "",
+            "queue",
+            "Answers of this node's backend server whose limit can't be read",
+        ),
         _family(
             "admission_refusals_total",
             _COUNTER,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -52,6 +52,7 @@
     routes_age_s: float
     evacuated_domains: int
     evacuation_slices: int
+    backend_limit_per_s: float | None = None
 
 
 class Metrics:
@@ -71,6 +72,7 @@
         self.unreadable_routes = 0
         self.damaged_evacuations = 0
         self.unknown_names = defaultdict(int)
+        self.damaged_limits = 0
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -105,6 +107,10 @@
         """Count a name that isn't known, in a message of the platform."""
         self.unknown_names[message] += 1
 
+    def damaged_limit_read(self):
+        """Count an answer whose limit can't be read."""
+        self.damaged_limits += 1
+
     def unreadable_routes_received(self):
         """Count routes of a peer that couldn't be applied."""
         self.unreadable_routes += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -87,6 +87,8 @@
         "routes_age_seconds": _unlabelled(gauges.routes_age_s),
         "unreadable_routes_total": _unlabelled(metrics.unreadable_routes),
         "damaged_evacuations_total": _unlabelled(metrics.damaged_evacuations),
+        "backend_limit_per_second": _if_known(gauges.backend_limit_per_s),
+        "damaged_limits_total": _unlabelled(metrics.damaged_limits),
         "unknown_names_total": _with_one_label(metrics.unknown_names),
         "evacuated_domains": _unlabelled(gauges.evacuated_domains),
         "evacuation_slices": _unlabelled(gauges.evacuation_slices),
@@ -98,5 +100,9 @@
     return {(label,): value for label, value in values.items()}
 
 
+def _if_known(value):
+    return {} if value is None else _unlabelled(value)
+
+
 def _unlabelled(value):
     return {(): value}
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -12,6 +12,7 @@
     owned_slices={"booking": 5},
     backend_running_requests=3,
     backend_slots=12,
+    backend_limit_per_s=14.4,
     waiting_requests=4,
     streams=0,
     lease_held=True,
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -1,6 +1,7 @@
 """Calls to a backend server on the platform: requests, grants and releases."""
 
 import contextlib
+from functools import partial
 
 import gevent
 import orjson
@@ -12,8 +13,10 @@
 from comfreywharf.daemon.ownership.range_grants import Orders
 from comfreywharf.daemon.requests.wire import Dialect, join_lines
 from comfreywharf.daemon.servers.backend import Backend, CancelReply
+from comfreywharf.daemon.servers.statements import AnswerKind
 from comfreywharf.ownership.holds import GrantAnswer
 from comfreywharf.platform.durations import duration_text
+from comfreywharf.platform.statements import read_statement
 from comfreywharf.platform.unknown_names import MessageKind
 from comfreywharf.routing import Reason
 
@@ -21,6 +24,7 @@
 
 GRANT_TIMEOUT_S = 0.4
 CONNECT_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 1.0
 GRANT_CONNECTIONS = 8
 RELEASE_CONNECTIONS = 16
 """A release occupies its connection until the work on its keys has ended. On the
@@ -67,11 +71,13 @@
 class PlatformOrders(Orders):
     """Send grants and releases to the backend server."""
 
-    def __init__(self, host, port, probe_target):
+    def __init__(self, host, port, probe_target, record_answer):
+        self._record_answer = record_answer
         self._grants = BoundClient(
             host,
             port,
             probe_target=probe_target,
+            probe_answered=partial(record_answer, AnswerKind.PROBE),
             concurrency=GRANT_CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
@@ -102,7 +108,7 @@
                     return GrantAnswer.UNSENT
                 sent = True
                 fields = _grant_fields(numbers, order, hold_s)
-                answer = _post(self._grants, sock, "/-/grant", fields)
+                answer = self._post(self._grants, sock, "/-/grant", fields)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return GrantAnswer.LOST if sent else GrantAnswer.UNSENT
         return _GRANT_ANSWERS.get(answer.status_code, GrantAnswer.REFUSED)
@@ -116,11 +122,17 @@
         try:
             with gevent.Timeout(timeout_s):
                 sock = self._releases.connect()
-                answer = _post(self._releases, sock, "/-/release", fields)
+                answer = self._post(self._releases, sock, "/-/release", fields)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return None
         return answer.get("x-handover", "") if answer.status_code == 200 else None
 
+    def _post(self, client, sock, target, fields):
+        body = orjson.dumps(fields)
+        answer = client.exchange(sock, "POST", target, JSON_LINE, body)
+        self._record_answer(AnswerKind.ORDER, answer)
+        return answer
+
     @property
     def awaits_answer(self):
         """Return whether a grant or a release awaits its answer."""
@@ -148,17 +160,24 @@
     return fields
 
 
-def _post(client, sock, target, fields):
-    return client.exchange(sock, "POST", target, JSON_LINE, orjson.dumps(fields))
-
-
 class PlatformBackend(Backend):
-    """The backend server beside this node; it is probed at ``health_path()``."""
+    """The backend server beside this node; it is probed at ``health_path()``.
+
+    ``record_statement(kind, statement)`` is called for each of its answers.
+    """
 
-    def __init__(self, announcement, health_path, unknown_names):
+    def __init__(self, announcement, health_path, unknown_names, record_statement):
         super().__init__(announcement)
+        self._health_path = health_path
         self._unknown_names = unknown_names
-        self.orders = PlatformOrders(announcement.host, announcement.port, health_path)
+        self._record_statement = record_statement
+        self.orders = PlatformOrders(
+            announcement.host, announcement.port, health_path, self._record_answer
+        )
+
+    def _record_answer(self, kind, response):
+        self._unknown_names.check(MessageKind.SERVER_ANSWER, response.header_names)
+        self._record_statement(kind, read_statement(response))
 
     @property
     def awaits_answer(self):
@@ -191,9 +210,33 @@
         response.keeps_connection = False
         if response.whole:
             response.release()
-        self._unknown_names.check(MessageKind.SERVER_ANSWER, response.header_names)
+        self._record_answer(AnswerKind.REQUEST, response)
         return response
 
+    def probe(self):
+        """Send a probe, whose answer states what any other answer would.
+
+        A failed probe is ignored; no error is raised.
+        """
+        response = None
+        try:
+            with gevent.Timeout(PROBE_TIMEOUT_S):
+                response = self._control_client.request(
+                    "GET", self._health_path(), header_lines=self._host_line
+                )
+                response.read(MAX_ANSWER_BYTES)
+        except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
+            return
+        finally:
+            if response is not None:
+                response.release()
+        self._record_answer(AnswerKind.PROBE, response)
+
+    @property
+    def _host_line(self):
+        announcement = self.announcement
+        return f"Host: {announcement.host}:{announcement.port}\r\n"
+
     def cancel(self, attempt_id, request_id):
         """Confirm at once: on the platform, closing the connection cancels a request.
 
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -1,5 +1,7 @@
 """The protocols and limits of a node that runs on the platform."""
 
+from functools import partial
+
 import attrs
 import gevent
 from geventhttpclient.response import HTTPParseError
@@ -130,6 +132,7 @@
             announcement,
             lambda: self._health_path(announcement.service),
             self._unknown_names,
+            partial(node.record_statement, announcement.incarnation),
         )
 
     def _health_path(self, name):
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -26,6 +26,7 @@
     "ReceivedAnswer",
     "boot_text",
     "configuration",
+    "ignore",
     "unreported_names",
     "wait_for",
 ]
@@ -139,6 +140,10 @@
     }
 
 
+def ignore(*arguments):
+    """Take a call without any effect."""
+
+
 def unreported_names():
     """Return `UnknownNames` whose reports go nowhere."""
     return UnknownNames(lambda event, **fields: None, Metrics())
--- a/comfreywharf/platform/tests/test_backends.py
+++ b/comfreywharf/platform/tests/test_backends.py
@@ -17,7 +17,7 @@
     running_request,
 )
 from comfreywharf.platform.backends import PlatformBackend, PlatformDialect
-from comfreywharf.platform.tests.builders import unreported_names
+from comfreywharf.platform.tests.builders import ignore, unreported_names
 from comfreywharf.routing import Reason
 
 OWN = ("X-Attempt-Id: id", "X-Response-Stamp: s")
@@ -26,7 +26,7 @@
 
 def make_backend(server):
     announced = backend_for(server).announcement
-    return PlatformBackend(announced, lambda: "/health", unreported_names())
+    return PlatformBackend(announced, lambda: "/health", unreported_names(), ignore)
 
 
 def exchange(server):
--- a/comfreywharf/platform/tests/test_limited_servers.py
+++ b/comfreywharf/platform/tests/test_limited_servers.py
@@ -3,6 +3,7 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.platform.tests.builders import wait_for
 
 LIMIT_PER_S = 10.0
 CALLER_PAUSE_S = 0.15
@@ -79,3 +80,51 @@
     times_s = run_times_s(deployment, "n3", since_s)
     assert most_in_window(times_s) <= LIMIT_PER_S * WINDOW_S + SLACK_REQUESTS
     assert len(times_s) >= USED_PART * LIMIT_PER_S * (boottime_s() - since_s)
+
+
+def test_a_refusal_beyond_the_limit_says_when_to_come_back(deployment):
+    """Guards against callers who are held, or come back too soon."""
+    owner = deployment.holder(KEY)
+    deployment.send_request(owner)
+    begin_limit(deployment, owner, 0.5)
+    with Callers(deployment, "/look/1", KEY) as callers:
+        gevent.sleep(1.0)
+    refused = [answer for answer in callers.answers if answer.status == 503]
+    assert refused
+    assert all(float(answer.headers["retry-after"]) >= 0.3 for answer in refused)
+    assert {answer.body for answer in refused} == {b"backend-limited\n"}
+
+
+def test_a_limit_of_zero_is_lifted_though_no_request_is_sent(deployment):
+    """Guards against a server that gets nothing for good once it took nothing."""
+    owner = deployment.holder(KEY)
+    node = deployment.nodes[owner]
+    deployment.servers[owner].limit = "0"
+    wait_for(lambda: deployment.send_request(owner).status == 503)
+    assert node.load.rate_limit.limit_per_s == 0
+    deployment.servers[owner].limit = None
+    wait_for(lambda: node.load.rate_limit.limit_per_s is None)
+    wait_for(lambda: deployment.send_request(owner).status == 200)
+    names = {event.name for event in node.events.since(0)}
+    assert {"backend_limited", "limit_lifted"} <= names
+
+
+def test_a_limit_in_a_grants_answer_is_known_before_the_first_request(deployment):
+    """Guards against a node that restarts beside a limited server with many keys."""
+    owner = deployment.holder(KEY)
+    deployment.servers[owner].limit = "3"
+    node = deployment.nodes[owner]
+    wait_for(lambda: node.load.rate_limit.limit_per_s == 3)
+
+
+def test_a_damaged_limit_is_reported_once_and_changes_nothing(deployment):
+    """Guards against a limit that is silently ignored, or taken for another one."""
+    owner = deployment.holder(KEY)
+    node = deployment.nodes[owner]
+    deployment.servers[owner].limit = "plenty"
+    for _ in range(5):
+        assert deployment.send_request(owner).status == 200
+    assert node.load.rate_limit.limit_per_s is None
+    assert node.metrics.damaged_limits >= 5
+    reported = [e for e in node.events.since(0) if e.name == "damaged_limit"]
+    assert len(reported) == 1
--- a/comfreywharf/platform/tests/test_orders.py
+++ b/comfreywharf/platform/tests/test_orders.py
@@ -14,6 +14,7 @@
 from comfreywharf.ownership.holds import GrantAnswer
 from comfreywharf.platform import backends
 from comfreywharf.platform.backends import PlatformOrders
+from comfreywharf.platform.tests.builders import ignore
 
 RESET = struct.pack("ii", 1, 0)
 
@@ -65,7 +66,7 @@
 
 
 def make_orders(port):
-    return PlatformOrders("127.0.0.1", port, lambda: "/health")
+    return PlatformOrders("127.0.0.1", port, lambda: "/health", ignore)
 
 
 def make_order(steps=None):
--- /dev/null
+++ b/comfreywharf/platform/tests/test_statements.py
@@ -0,0 +1,31 @@
+"""What a server states in the headers of its answers."""
+
+import pytest
+
+from comfreywharf.daemon.servers.statements import Statement
+from comfreywharf.platform.statements import read_statement
+
+
+@pytest.mark.parametrize(
+    ("text", "limit_per_s"),
+    [("14.4", 14.4), ("24", 24.0), ("0", 0.0), (".25", 0.25), ("7.", 7.0)],
+)
+def test_a_decimal_limit_is_read(text, limit_per_s):
+    """A limit is a decimal number of requests per second."""
+    assert read_statement({"server-limit": text}) == Statement(limit_per_s=limit_per_s)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "nan", "inf", "-1", "+3", "1,5", "1e3", "0x10", "9" * 30, ["3", "4"], "3 4"],
+)
+def test_a_limit_that_cant_be_read_is_damaged(text):
+    """Guards against a limit that is taken for none, or for another one."""
+    statement = read_statement({"server-limit": text})
+    assert statement.limit_per_s is None
+    assert statement.damaged_limit is not None
+
+
+def test_an_answer_without_the_header_names_no_limit():
+    """Most answers state nothing."""
+    assert read_statement({}) == Statement()
--- a/comfreywharf/routing/outcomes.py
+++ b/comfreywharf/routing/outcomes.py
@@ -50,6 +50,7 @@
     NOT_YET_OWNER = "not-yet-owner"
     OVERLOADED = "overloaded"
     BACKEND_COLD = "backend-cold"
+    BACKEND_LIMITED = "backend-limited"
     DRAINING = "draining"
     NO_BACKEND = "no-backend"
     REFUSED_BY_BACKEND = "refused-by-backend"
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -40,6 +40,7 @@
     {
         Reason.OVERLOADED,
         Reason.BACKEND_COLD,
+        Reason.BACKEND_LIMITED,
         Reason.DRAINING,
         Reason.NO_BACKEND,
         Reason.REFUSED_BY_BACKEND,
@@ -55,6 +56,7 @@
         Reason.NO_BACKEND,
         Reason.DRAINING,
         Reason.BACKEND_COLD,
+        Reason.BACKEND_LIMITED,
     }
 )
 """Refusals of `_OTHER_MEMBER_MAY_SERVE` made before a backend server received
@@ -62,6 +64,9 @@
 requests would be refused while two of three machines are lost, namely those that try
 both lost members first, although the third server has capacity."""
 
+_FULL = frozenset({Reason.OVERLOADED, Reason.BACKEND_LIMITED})
+"""Refusals by a member that would serve the request if it waited there."""
+
 
 @attrs.frozen(kw_only=True)
 class RouteLimits:
@@ -208,7 +213,7 @@
         if target:
             return Send(attrs.evolve(progress, target=target))
         return _hold(progress, now_s, deadline_s, limits)
-    if reason is Reason.OVERLOADED and progress.passes < limits.passes:
+    if reason in _FULL and progress.passes < limits.passes:
         return _pass_on(progress, other_member, limits)
     if reason not in _OTHER_MEMBER_MAY_SERVE or not other_member:
         return GiveUp()
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -559,6 +559,7 @@
      - event_clock
      - retries_left
      - cold_ms
+     - limit_per_s
 
     """
 
@@ -574,10 +575,11 @@
         'event_clock',
         'retries_left',
         'cold_ms',
+        'limit_per_s',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -589,6 +591,7 @@
         self.event_clock = event_clock
         self.retries_left = retries_left
         self.cold_ms = cold_ms
+        self.limit_per_s = limit_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -660,6 +663,11 @@
                     self.cold_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -717,6 +725,10 @@
             oprot.writeFieldBegin('cold_ms', TType.I32, 11)
             oprot.writeI32(self.cold_ms)
             oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2767,6 +2779,7 @@
      - event_clock
      - service_ms
      - cold_requests_per_s
+     - limit_per_s
 
     """
 
@@ -2781,10 +2794,11 @@
         'event_clock',
         'service_ms',
         'cold_requests_per_s',
+        'limit_per_s',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, slices=None, hot_keys=None, busy_fraction=None, backend_up=None, lease_held=None, event_clock=None, service_ms=None, cold_requests_per_s=None,):
+    def __init__(self, node_id=None, incarnation=None, slices=None, hot_keys=None, busy_fraction=None, backend_up=None, lease_held=None, event_clock=None, service_ms=None, cold_requests_per_s=None, limit_per_s=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.slices = slices
@@ -2795,6 +2809,7 @@
         self.event_clock = event_clock
         self.service_ms = service_ms
         self.cold_requests_per_s = cold_requests_per_s
+        self.limit_per_s = limit_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2867,6 +2882,11 @@
                     self.cold_requests_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2923,6 +2943,10 @@
             oprot.writeFieldBegin('cold_requests_per_s', TType.DOUBLE, 10)
             oprot.writeDouble(self.cold_requests_per_s)
             oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3112,6 +3136,7 @@
     (9, TType.I64, 'event_clock', None, None, ),  # 9
     (10, TType.I32, 'retries_left', None, None, ),  # 10
     (11, TType.I32, 'cold_ms', None, None, ),  # 11
+    (12, TType.DOUBLE, 'limit_per_s', None, None, ),  # 12
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -3266,6 +3291,7 @@
     (8, TType.I64, 'event_clock', None, None, ),  # 8
     (9, TType.DOUBLE, 'service_ms', None, None, ),  # 9
     (10, TType.DOUBLE, 'cold_requests_per_s', None, None, ),  # 10
+    (11, TType.DOUBLE, 'limit_per_s', None, None, ),  # 11
 )
 all_structs.append(LoadReportReply)
 LoadReportReply.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -61,7 +61,8 @@
   8: required string owner_hint,       // on WRONG_OWNER: the node to try
   9: required i64 event_clock,
   10: required i32 retries_left,
-  11: optional i32 cold_ms             // how long the sender's server stays cold
+  11: optional i32 cold_ms,            // how long the sender's server stays cold
+  12: optional double limit_per_s      // what the sender's server takes; unset: no limit
 }
 
 struct BodyChunk {
@@ -214,7 +215,8 @@
   7: required bool lease_held,
   8: required i64 event_clock,
   9: required double service_ms,       // mean time per request at the server; 0: unknown
-  10: optional double cold_requests_per_s // what the server bears; unset: it is warm
+  10: optional double cold_requests_per_s, // what the server bears; unset: it is warm
+  11: optional double limit_per_s      // what the server takes; unset: it names no limit
 }
 
 struct LoadReportReply {
