Choose a limited server for what it takes

What callers saw: nothing yet; requests to a service without keys would have been sent to a limited server by each node as if it had room, to be refused there and passed on.

Change: replies tell the limit of the server beside the sender, and callers of the service draw limited members by what they take, as they draw cold ones. A limit counts for 2 s without a reply, so that a member which takes nothing is asked again. Cold members alone are chosen as before.

--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -84,6 +84,7 @@
             # Other nodes choose among the servers by what their replies tell.
             cold_left_s = self._node.load.cold.cold_left_s(boottime_s())
             served.reply.cold_ms = math.ceil(cold_left_s * 1000) or None
+            served.reply.limit_per_s = self._node.load.rate_limit.limit_per_s
         return served
 
     def _serve(self, request, body, now_s):
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -9,7 +9,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.load import Absences, Ejector, MemberLoad
-from comfreywharf.load.choice import warm_or_cold
+from comfreywharf.load.choice import within_bounds
 from comfreywharf.routing import Outcome, Reason
 
 __all__ = ["Members", "SentRequest"]
@@ -21,7 +21,14 @@
 _ABSENT = frozenset({Reason.NO_BACKEND, Reason.PEER_UNREACHABLE, Reason.DRAINING})
 """Refusals that show that a member or its backend server is absent."""
 
-_NO_ROOM = frozenset({Reason.OVERLOADED.value, Reason.BACKEND_COLD.value})
+LIMIT_KEPT_S = 2.0
+"""How long a member's limit counts without another reply of it. A member that takes
+nothing is then asked again, and its node refuses the request if the limit holds."""
+
+_NO_ROOM = frozenset(
+    reason.value
+    for reason in (Reason.OVERLOADED, Reason.BACKEND_COLD, Reason.BACKEND_LIMITED)
+)
 """Refusals for lack of room at the backend server."""
 
 _FAILURES = frozenset(
@@ -82,9 +89,9 @@
         if not present:
             return ""
         usable = group.ejector.usable(present, now_s, idempotent)
-        if group.cold_terms is not None:
-            cold_per_s = group.cold_terms.sustained_per_s
-            usable = warm_or_cold(usable, cold_per_s, now_s, self._random)
+        terms = group.cold_terms
+        cold_per_s = terms.sustained_per_s if terms is not None else None
+        usable = within_bounds(usable, cold_per_s, now_s, self._random)
         return group.chooser.choose(usable, self._random).node_id
 
     def designated(self, service, fingerprint):
@@ -115,7 +122,7 @@
             return
         group = self._services[sent.service]
         self._update_absences(group, sent, reply)
-        _update_cold(sent.member, reply)
+        _update_bounds(sent.member, reply, boottime_s())
         failed = _failed(reply)
         if failed is None:
             if reply is not None and reply.reason in _NO_ROOM:
@@ -219,17 +226,22 @@
     return latest
 
 
-def _update_cold(member, reply):
-    """Update for how long a member is cold, as its node tells in each reply.
+def _update_bounds(member, reply, now_s):
+    """Update the bounds of a member's requests, as its node tells in each reply.
 
-    A refusal without that may be this node's own, after a call that failed.
+    A refusal without them may be this node's own, after a call that failed.
     """
     if reply is None:
         return
     if reply.cold_ms:
-        member.cold_until_s = boottime_s() + reply.cold_ms / 1000
+        member.cold_until_s = now_s + reply.cold_ms / 1000
     elif not reply.reason:
         member.cold_until_s = float("-inf")
+    if reply.limit_per_s is not None:
+        member.limit_per_s = reply.limit_per_s
+        member.limited_until_s = now_s + LIMIT_KEPT_S
+    elif not reply.reason:
+        member.limited_until_s = float("-inf")
 
 
 def _failed(reply):
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -101,3 +101,41 @@
         members.record_sent("files", "a"), refusal(Reason.OVERLOADED)
     )
     assert members._services["files"].members["a"].refused_fraction > 0
+
+
+def test_a_limited_member_is_chosen_for_what_it_takes():
+    """Guards against requests of all nodes to a server in need that refuses them."""
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("abc")]
+    members = make_members(*entries)
+    members.choose("files")
+    reply = refusal(Reason.BACKEND_LIMITED)
+    reply.limit_per_s = 5.0
+    members.record_outcome(members.record_sent("files", "a"), reply)
+    # Two others with one slot of 0.1 s each bear 20 requests a second.
+    assert 0.15 < chosen_fraction(members, "a") < 0.25
+
+
+def test_a_member_that_takes_nothing_is_asked_again_after_a_while(monkeypatch):
+    """Guards against a server that recovers and gets no requests for good."""
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("ab")]
+    members = make_members(*entries)
+    members.choose("files")
+    reply = refusal(Reason.BACKEND_LIMITED)
+    reply.limit_per_s = 0.0
+    members.record_outcome(members.record_sent("files", "a"), reply)
+    assert chosen_fraction(members, "a") == 0.0
+    later_s = members_module.boottime_s() + members_module.LIMIT_KEPT_S
+    monkeypatch.setattr(members_module, "boottime_s", lambda: later_s)
+    assert chosen_fraction(members, "a") > 0.25
+
+
+def test_limited_members_alone_share_by_what_they_take():
+    """Where all servers are in need, the one in greater need gets less."""
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("ab")]
+    members = make_members(*entries)
+    members.choose("files")
+    for name, limit_per_s in (("a", 2.0), ("b", 8.0)):
+        reply = refusal(Reason.BACKEND_LIMITED)
+        reply.limit_per_s = limit_per_s
+        members.record_outcome(members.record_sent("files", name), reply)
+    assert 0.15 < chosen_fraction(members, "a") < 0.25
--- a/comfreywharf/load/choice.py
+++ b/comfreywharf/load/choice.py
@@ -9,7 +9,7 @@
     "NearFirst",
     "RoundRobin",
     "TwoChoices",
-    "warm_or_cold",
+    "within_bounds",
 ]
 
 NEAR_COST_RATIO = 3.0
@@ -21,21 +21,34 @@
 """Fraction refused or failed from which on a near server isn't preferred."""
 
 
-def warm_or_cold(members, cold_per_s, now_s, rng):
-    """Return the warm ones of some members or, at times, the cold ones.
+def within_bounds(members, cold_per_s, now_s, rng):
+    """Return those of some members that may get the next request.
 
-    A cold server bears ``cold_per_s`` requests per second. The cold ones are drawn as
-    often as their part of what all members bear together, so that they get what they
-    bear whatever the number of senders, and no more has to be refused.
+    A cold server bears ``cold_per_s`` requests per second, a limited one what it names.
+    These are drawn as often as their part of what all members bear together, so that
+    they get what they bear whatever the number of senders, and no more has to be
+    refused. ``cold_per_s`` is ``None`` if cold servers aren't bounded.
     """
-    cold = [member for member in members if member.is_cold(now_s)]
-    if not cold or len(cold) == len(members):
+    bounds = [member.bound_per_s(cold_per_s, now_s) for member in members]
+    bounded = [
+        (member, bound_per_s)
+        for member, bound_per_s in zip(members, bounds, strict=True)
+        if bound_per_s is not None
+    ]
+    if not bounded:
         return members
-    warm = [member for member in members if not member.is_cold(now_s)]
-    cold_capacity_per_s = cold_per_s * len(cold)
-    warm_capacity_per_s = sum(member.capacity_per_s for member in warm)
-    cold_part = cold_capacity_per_s / (cold_capacity_per_s + warm_capacity_per_s)
-    return cold if rng.random() < cold_part else warm
+    free = [
+        m for m, bound_per_s in zip(members, bounds, strict=True) if bound_per_s is None
+    ]
+    bounded_per_s = sum(bound_per_s for _, bound_per_s in bounded)
+    if free:
+        free_per_s = sum(member.capacity_per_s for member in free)
+        if rng.random() >= bounded_per_s / (bounded_per_s + free_per_s):
+            return free
+    if not bounded_per_s or not any(member.is_limited(now_s) for member, _ in bounded):
+        return [member for member, _ in bounded]
+    candidates, weights = zip(*bounded, strict=True)
+    return rng.choices(candidates, weights)
 
 
 class Chooser(ABC):
--- a/comfreywharf/load/members.py
+++ b/comfreywharf/load/members.py
@@ -31,7 +31,8 @@
     request may report that it is healthy and idle. ``announced_offset`` identifies
     a start of the server; after each start it is cold. ``near`` is true if the
     server is in this node's failure domain. The node beside the server may report that
-    its requests are bounded until ``cold_until_s``.
+    its requests are bounded until ``cold_until_s``, or that it takes ``limit_per_s``
+    requests per second, which counts until ``limited_until_s``.
     """
 
     node_id: str
@@ -45,11 +46,30 @@
     refused_fraction: float = 0.0
     slots: int = 1
     cold_until_s: float = float("-inf")
+    limit_per_s: float = 0.0
+    limited_until_s: float = float("-inf")
 
     def is_cold(self, now_s):
         """Return whether the server's requests are bounded, as it is cold."""
         return now_s < self.cold_until_s
 
+    def is_limited(self, now_s):
+        """Return whether the server names the requests per second that it takes."""
+        return now_s < self.limited_until_s
+
+    def bound_per_s(self, cold_per_s, now_s):
+        """Return how many requests per second the server bears, if it is bounded.
+
+        Return ``None`` if it isn't. ``cold_per_s`` is what a cold server bears, or
+        ``None``.
+        """
+        bounds = []
+        if cold_per_s is not None and self.is_cold(now_s):
+            bounds.append(cold_per_s)
+        if self.is_limited(now_s):
+            bounds.append(self.limit_per_s)
+        return min(bounds, default=None)
+
     @property
     def capacity_per_s(self):
         """Return about how many requests per second the server bears once warm."""
--- a/comfreywharf/load/tests/test_coldstart.py
+++ b/comfreywharf/load/tests/test_coldstart.py
@@ -18,7 +18,7 @@
     decide,
 )
 from comfreywharf.load.bounds import ArrivalBounds
-from comfreywharf.load.choice import warm_or_cold
+from comfreywharf.load.choice import within_bounds
 from comfreywharf.load.coldstart import WINDOW_S, ColdLimit, ColdTerms
 from comfreywharf.load.fairqueue import RankedQueue
 from comfreywharf.load.tests.builders import member
@@ -209,7 +209,7 @@
         one.cold_until_s = 5.0
     bears_per_s = cold_count * 6.0 + (8 - cold_count) * 30.0
     chosen = [
-        rng.choice(warm_or_cold(members, 6.0, 0.0, rng)).is_cold(0.0)
+        rng.choice(within_bounds(members, 6.0, 0.0, rng)).is_cold(0.0)
         for _ in range(5000)
     ]
     assert sum(chosen) / 5000 == pytest.approx(cold_count * 6.0 / bears_per_s, abs=0.03)
@@ -220,4 +220,4 @@
     members = [member("a"), member("b")]
     for one in members:
         one.cold_until_s = 5.0
-    assert warm_or_cold(members, 6.0, 0.0, random.Random(0)) == members
+    assert within_bounds(members, 6.0, 0.0, random.Random(0)) == members
