Move keys away from a server that names a limit

Cause: the planner moves by slots, so that a server which takes a quarter of its requests keeps all of its keys, and callers of these are refused for as long as the limit stands.

Change: load reports tell the limit. A limited server's capacity is what it takes in mean service times, a limit is a utilisation of its own, so that keys move though no slots are short, and a server that takes nothing counts as draining. The keys come back when the limit goes.

--- a/comfreywharf/daemon/ownership/load_reports.py
+++ b/comfreywharf/daemon/ownership/load_reports.py
@@ -28,8 +28,9 @@
 
     ``hot_keys()`` returns ``(service, key_hash, requests_per_s)`` of the keys that
     are hot on this node, ``busy_fraction()`` the fraction of slots in use,
-    ``service_ms()`` the time that a request takes, and ``cold_requests_per_s()`` what
-    the backend server bears while it is cold. `Node` sets these functions.
+    ``service_ms()`` the time that a request takes, ``cold_requests_per_s()`` what
+    the backend server bears while it is cold, and ``limit_per_s()`` the limit that it
+    names. `Node` sets these functions.
     """
 
     def __init__(self, node):
@@ -37,6 +38,7 @@
         self.busy_fraction = float
         self.service_ms = float
         self.cold_requests_per_s = lambda: None
+        self.limit_per_s = lambda: None
         self._node = node
         self._node_id = node.settings.node_id
         self._meter = SliceMeter(node.ports.placement.smoothing_s)
@@ -97,6 +99,7 @@
             lease_held=self._node.leases.holds_lease(),
             service_ms=self.service_ms(),
             cold_requests_per_s=self.cold_requests_per_s(),
+            limit_per_s=self.limit_per_s(),
         )
 
     def _slice_rates(self, everything):
@@ -150,6 +153,7 @@
         event_clock=0,
         service_ms=report.service_ms,
         cold_requests_per_s=report.cold_requests_per_s,
+        limit_per_s=report.limit_per_s,
     )
 
 
@@ -179,4 +183,5 @@
         lease_held=message.lease_held,
         service_ms=message.service_ms,
         cold_requests_per_s=message.cold_requests_per_s,
+        limit_per_s=message.limit_per_s,
     )
--- a/comfreywharf/placement/loads.py
+++ b/comfreywharf/placement/loads.py
@@ -99,7 +99,8 @@
     """One node's load report; ``slices`` holds only rates that changed.
 
     ``cold_requests_per_s`` is what the backend server bears while it is cold; ``None``
-    means that it is warm.
+    means that it is warm. ``limit_per_s`` is how many requests per second it takes, if
+    it names a limit.
     """
 
     node_id: str
@@ -111,6 +112,7 @@
     lease_held: bool = True
     service_ms: float = 0.0
     cold_requests_per_s: float | None = None
+    limit_per_s: float | None = None
 
     @property
     def can_serve(self):
@@ -131,6 +133,7 @@
     busy_fraction: float
     service_ms: float = 0.0
     cold_requests_per_s: float | None = None
+    limit_per_s: float | None = None
     taken_over_s: float | None = None
 
 
@@ -200,6 +203,7 @@
             busy_fraction=report.busy_fraction,
             service_ms=report.service_ms,
             cold_requests_per_s=report.cold_requests_per_s,
+            limit_per_s=report.limit_per_s,
         )
 
     def _record_hot_key(self, entry, now_s):
@@ -273,6 +277,11 @@
         node = self._nodes.get(node_id)
         return node.cold_requests_per_s if node else None
 
+    def limit_per_s(self, node_id):
+        """Return the limit that a node's server names; ``None`` if it names none."""
+        node = self._nodes.get(node_id)
+        return node.limit_per_s if node else None
+
     def hot_keys(self, service, now_s):
         """Return ``{key_hash: requests_per_s}`` of the recently reported hot keys."""
         seen = self._hot.get(service, {})
--- a/comfreywharf/placement/tests/builders.py
+++ b/comfreywharf/placement/tests/builders.py
@@ -35,6 +35,7 @@
         self.now_s = 0.0
         self.service_ms = 0.0
         self.cold_requests_per_s = {}
+        self.limits_per_s = {}
         self.evacuated = frozenset()
         self.state = ClusterState()
         self.planning = PlanningState.begin(
@@ -126,6 +127,7 @@
                 ),
                 service_ms=self.service_ms,
                 cold_requests_per_s=self.cold_requests_per_s.get(node_id),
+                limit_per_s=self.limits_per_s.get(node_id),
             )
             planning.decide(self.planning, LoadReported(report=report), self.now_s)
 
--- a/comfreywharf/placement/tests/test_planning.py
+++ b/comfreywharf/placement/tests/test_planning.py
@@ -350,3 +350,35 @@
     cluster.cold_requests_per_s.clear()
     cluster.run_rounds(rounds=8, rates=rates)
     assert load_of(cluster, "node-0", rate_per_slice) > 15.0
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 2.0, 8.0])
+def test_a_limited_server_keeps_no_more_keys_than_it_takes_requests_for(limit_per_s):
+    """Guards against keys that stay with a server in need while others have room.
+
+    The keys come back with the end of the limit.
+    """
+    rate_per_slice = 2.0
+    tuning = PlacementTuning(warm_up_s=3.0, cheap_moves=True, scale_by_speed=True)
+    cluster = PlannedCluster(nodes=4, tuning=tuning, slices=40)
+    cluster.service_ms = 300.0
+    rates = {slice_.start: rate_per_slice for slice_ in cluster.slices}
+    cluster.run_rounds(rounds=8, rates=rates)
+    cluster.limits_per_s["node-0"] = limit_per_s
+    cluster.run_rounds(rounds=8, rates=rates)
+    assert load_of(cluster, "node-0", rate_per_slice) <= 1.2 * limit_per_s
+    cluster.limits_per_s.clear()
+    cluster.run_rounds(rounds=8, rates=rates)
+    assert load_of(cluster, "node-0", rate_per_slice) > 15.0
+
+
+def test_keys_of_a_limited_server_move_though_no_slots_are_short():
+    """Guards against a limit below a load at which nothing moves for balance."""
+    tuning = PlacementTuning(warm_up_s=3.0, cheap_moves=True, scale_by_speed=True)
+    cluster = PlannedCluster(nodes=4, tuning=tuning, slices=40)
+    cluster.service_ms = 10.0
+    rates = {slice_.start: 1.0 for slice_ in cluster.slices}
+    cluster.run_rounds(rounds=8, rates=rates)
+    cluster.limits_per_s["node-0"] = 4.0
+    cluster.run_rounds(rounds=8, rates=rates)
+    assert load_of(cluster, "node-0", 1.0) <= 1.2 * 4.0
--- a/comfreywharf/placement/view.py
+++ b/comfreywharf/placement/view.py
@@ -14,6 +14,9 @@
 COLD_SHARE = 0.2
 """Share of its capacity that a backend server gets right after its start."""
 
+MIN_LIMIT_PER_S = 0.1
+"""The least that a server's limit counts as, so that relative loads stay finite."""
+
 MIN_SPEED = 0.3
 MAX_SPEED = 2.0
 """Bounds on a measured relative speed; a few slow requests don't make a slow server."""
@@ -38,8 +41,8 @@
     the sum of all, ``mean_relative_load`` that sum per unit of the targets' capacity.
     ``hot_keys`` are requests per second by key hash. ``busy_fractions`` are the
     shares of the members' slots that are in use, ``service_s`` their mean service
-    times. ``planned_owners`` and ``planned_standbys`` are the planned changes by
-    start of the slice.
+    times, ``limits_per_s`` the limits that their servers name. ``planned_owners`` and
+    ``planned_standbys`` are the planned changes by start of the slice.
     """
 
     config: object
@@ -52,6 +55,7 @@
     hot_keys: dict[int, float]
     busy_fractions: dict[str, float]
     service_s: dict[str, float] = attrs.Factory(dict)
+    limits_per_s: dict[str, float] = attrs.Factory(dict)
     planned_owners: dict[int, str] = attrs.Factory(dict)
     planned_standbys: dict[int, str] = attrs.Factory(dict)
     total_load: float = attrs.field(init=False)
@@ -74,11 +78,16 @@
         return self.loads[node_id] / self.targets[node_id]
 
     def max_utilisation(self):
-        """Return the highest utilisation of a target's slots by its load.
+        """Return the highest utilisation of a target, of its slots or its limit.
 
         It is infinite if no target's service time is known.
         """
         shares = [
+            self.loads[node_id] / max(limit_per_s, MIN_LIMIT_PER_S)
+            for node_id, limit_per_s in self.limits_per_s.items()
+            if node_id in self.targets
+        ]
+        shares += [
             self.loads[node_id] * service_s / max(1, self.members[node_id].slots)
             for node_id in self.targets
             if (service_s := self.service_s.get(node_id, 0.0)) > 0
@@ -149,13 +158,13 @@
     """Return the `ServiceView` of a service that is divided by key.
 
     ``warm_up`` is false only in replays that show its effect. Members in ``evacuated``
-    failure domains count as draining.
+    failure domains count as draining, and so do those whose servers take nothing.
     """
     tuning = tuning or PlacementTuning()
     report_timeout = report_timeout_s(len(cluster.members))
     members = {
         m.node_id: attrs.evolve(m, draining=True)
-        if m.failure_domain in evacuated
+        if m.failure_domain in evacuated or table.limit_per_s(m.node_id) == 0
         else m
         for m in cluster.members.values()
         if m.service == name
@@ -183,6 +192,11 @@
         hot_keys=table.hot_keys(name, now_s),
         busy_fractions={node_id: table.busy_fraction(node_id) for node_id in members},
         service_s={node_id: table.service_ms(node_id) / 1000 for node_id in members},
+        limits_per_s={
+            node_id: limit_per_s
+            for node_id in members
+            if (limit_per_s := table.limit_per_s(node_id)) is not None
+        },
     )
 
 
@@ -202,6 +216,10 @@
             capacity = min(capacity, cold_slots)
         elif warm_up:
             capacity *= _warm_up_share(table.warm_for_s(node_id, now_s), tuning)
+        limit_per_s = table.limit_per_s(node_id)
+        if limit_per_s is not None and mean_service_s:
+            limited_slots = max(limit_per_s, MIN_LIMIT_PER_S) * mean_service_s
+            capacity = min(capacity, limited_slots)
         targets[node_id] = capacity
     return targets
 
