--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -58,7 +58,8 @@
     set, as the id of the attempt.
     While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
     report that it stays cold for ``cold_s``, and have the ``extra_fields``. All answers
-    have the ``extra_headers``, and name the ``limit`` if there is one, as a text.
+    have the ``extra_headers``, name the ``limit``, a text, if there is one, and say
+    that the server leaves if ``says_leaving`` is set.
 
     With ``uses_hold_lists`` it refuses grant and release requests; the answers to its
     heartbeats list the ranges that it holds. The next ``lose_answers`` of these
@@ -91,6 +92,7 @@
         self.headers = []
         self.extra_headers = []
         self.limit = None
+        self.says_leaving = False
         self.extra_fields = {}
         self.held = []
         self.refused_grants = 0
@@ -289,8 +291,10 @@
 
     def _answer(self, environ, start_response):
         def start_with_extra_headers(status, headers):
-            named = [] if self.limit is None else [("Server-Limit", self.limit)]
-            start_response(status, headers + self.extra_headers + named)
+            stated = [] if self.limit is None else [("Server-Limit", self.limit)]
+            if self.says_leaving:
+                stated.append(("Server-Leaving", "1"))
+            start_response(status, headers + self.extra_headers + stated)
 
         return self._answer_call(environ, start_with_extra_headers)
 
