Bind nodes by a server that says in its answers that it leaves

What callers saw: nothing yet; by the platform's news a server says so in all its answers, and each node that passes one on is bound by it. A request would reach the server later than the bound, up to its end.

Cause: the header is decoded by nobody; a server's leaving is known from its heartbeats and records only.

Change: an answer of any kind that says so starts the server's leaving as its own report does. Replies between nodes carry it with the server's incarnation, and the node where a request began remembers it, whatever later heartbeats or replies say. It sends it with each further request to that node, so that a process which has restarted beside the server is bound as well, from the time that its sender knows. Operators' status shows it, and the limit that a server names.

--- a/comfreywharf/cli/nodes.py
+++ b/comfreywharf/cli/nodes.py
@@ -142,7 +142,7 @@
     rows = []
     for node_id, answer in answers:
         if isinstance(answer, CommandError):
-            rows.append([node_id, "no answer", "", "", "", ""])
+            rows.append([node_id, "no answer", "", "", "", "", ""])
         else:
             rows.append(
                 [
@@ -152,9 +152,20 @@
                     answer.config_version,
                     answer.next_offset,
                     answer.log_reachable,
+                    _backend_state(answer),
                 ]
             )
-    return table(["node", "state", "lease", "version", "read to", "log"], rows)
+    headings = ["node", "state", "lease", "version", "read to", "log", "server"]
+    return table(headings, rows)
+
+
+def _backend_state(answer):
+    """Return what the backend server beside a node states about itself, in words."""
+    states = ["leaves"] if answer.backend_leaves else []
+    if answer.limit_per_s is not None:
+        limited_s = answer.limited_ms / 1000
+        states.append(f"takes {answer.limit_per_s:g}/s for {limited_s:.0f} s")
+    return ", ".join(states)
 
 
 def drain(node_id: str, *, author: str = "", wait_s: float = 0.0, at: Target):
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -36,6 +36,7 @@
 from comfreywharf.events.ownership import OwnershipTracker
 from comfreywharf.membership import NodeFacts, NodeLifecycle, PauseDetector
 from comfreywharf.membership.evacuations import Evacuations
+from comfreywharf.membership.leaving import LeavingServer, LeavingServers
 from comfreywharf.membership.predecessors import has_predecessor_ended
 from comfreywharf.metrics import Metrics
 from comfreywharf.ownership import MIN_WITNESSES
@@ -119,7 +120,8 @@
         self.meter = Meter(self)
         self._last_heartbeat_s = float("-inf")
         self._port_refused = False
-        self._backend_leaving = False
+        self.leaving_backend = None
+        self.leaving_servers = LeavingServers()
         self.stopping = False
         self._announcing = None
         self.closed_to_new_work = False
@@ -286,7 +288,7 @@
         self.grants.backend_changed()
         self.closed_to_new_work = False
         self._port_refused = False
-        self._backend_leaving = False
+        self.leaving_backend = None
         self.backend = self.ports.make_backend(self, announcement)
         self.report(
             "backend_announced",
@@ -342,7 +344,7 @@
         is due checks again.
         """
         if backend is not self.backend or (
-            backend.awaits_answer and not self._backend_leaving
+            backend.awaits_answer and self.leaving_backend is None
         ):
             return
         self._port_refused = True
@@ -357,16 +359,18 @@
         """
         self._last_heartbeat_s = boottime_s()
 
-    def backend_leaves(self, instance):
-        """Record that the backend server has reported that it leaves."""
-        self._backend_leaving = True
-        self.report("backend_leaves", name=instance)
+    def backend_leaves(self, server):
+        """Record that the backend server, a `LeavingServer`, leaves."""
+        self.leaving_backend = server
+        self.report("backend_leaves", name=server.incarnation.instance)
 
     def record_statement(self, incarnation, kind, statement):
         """Apply what an answer of an incarnation of the backend server states."""
         if self.backend is None or self.backend.announcement.incarnation != incarnation:
             return
         self.load.record_limit(kind, statement, boottime_s())
+        if statement.leaving:
+            self.ports.server_leaves(LeavingServer(incarnation, boottime_s()))
 
     def backend_lost(self, reason):
         """Give up the keys of a backend server that no longer serves."""
@@ -409,7 +413,7 @@
         owner's server is granted. A crash closes all connections of the process, so
         that no answer is pending on an open one.
         """
-        return not self._backend_leaving and not backend.awaits_answer
+        return self.leaving_backend is None and not backend.awaits_answer
 
     def _announce(self):
         """Record this node and the backend server beside it in the log."""
--- a/comfreywharf/daemon/operating/documents.py
+++ b/comfreywharf/daemon/operating/documents.py
@@ -57,7 +57,9 @@
     ``state`` is the node's lifecycle state. ``log_read`` is false while the node
     hasn't read the log to its end, or misses records. ``lease`` is the phase of
     its lease. ``serving`` maps each service to the number of its slices that the node
-    may serve now. ``wall_clock_ms`` is in milliseconds since the epoch.
+    may serve now. ``wall_clock_ms`` is in milliseconds since the epoch. ``limit_per_s``
+    are the requests per second that the backend server takes, since ``limited_ms``
+    milliseconds, if it names a limit. ``backend_leaves`` is true once it leaves.
     """
 
     node_id: str
@@ -80,6 +82,9 @@
     dropped_events: int
     wall_clock_ms: int
     backend: dict[str, Any] | None = None
+    limit_per_s: float | None = None
+    limited_ms: int = 0
+    backend_leaves: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/comfreywharf/daemon/operating/operators.py
+++ b/comfreywharf/daemon/operating/operators.py
@@ -165,9 +165,21 @@
                 backend=attrs.asdict(node.backend.announcement)
                 if node.backend
                 else None,
+                backend_leaves=node.leaving_backend is not None,
+                **self._limit_fields(),
             ),
         )
 
+    def _limit_fields(self):
+        limit = self._node.load.rate_limit
+        if limit.limit_per_s is None:
+            return {}
+        limited_s = boottime_s() - limit.limited_since_s
+        return {
+            "limit_per_s": limit.limit_per_s,
+            "limited_ms": round(limited_s * 1000),
+        }
+
     def _serving(self):
         """Return how many slices of each service this node may serve now."""
         served = self._node.leases.table.serving(self._state, boottime_s())
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -112,6 +112,10 @@
         """Handle the loss of the backend server."""
         return
 
+    def server_leaves(self, server):
+        """Handle that a `LeavingServer` leaves, if it is the one beside the node."""
+        return
+
     def greenlets(self, node):
         """Return further functions to run in greenlets while the node runs."""
         return ()
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -9,6 +9,7 @@
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.daemon.requests.uploads import is_inline, send_upload
 from comfreywharf.daemon.servers.backend import BackendError
+from comfreywharf.daemon.servers.leaving_messages import from_message, to_message
 from comfreywharf.records import key_hash
 from comfreywharf.routing import (
     GiveUp,
@@ -249,8 +250,11 @@
         return served.reply, body_stream
 
     def _call(self, client, call):
+        node = self._node
         timeout_s = call.request.remaining_ms / 1000 + HOP_MARGIN_S
         call.request.sent_ms = int(boottime_s() * 1000)
+        leaving = node.leaving_servers.beside(call.target)
+        call.request.leaving = to_message(leaving, boottime_s())
         try:
             if is_inline(call.body):
                 call.request.body = call.body
@@ -259,6 +263,9 @@
                 reply = send_upload(client, call, timeout_s)
         except CallError as error:
             return self._call_failed(call, error), None
+        if reply.leaving is not None:
+            leaving = from_message(reply.leaving, boottime_s())
+            node.leaving_servers.record(call.target, leaving)
         if reply.stream_id:
             body_stream = RemoteAnswerBody(
                 client, reply.stream_id, call.deadline_s, lambda: self.cancel(call)
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -16,6 +16,7 @@
 from comfreywharf.daemon.requests.running import RunningRequests
 from comfreywharf.daemon.requests.wire import answer_headers
 from comfreywharf.daemon.servers.backend import BackendError
+from comfreywharf.daemon.servers.leaving_messages import from_message, to_message
 from comfreywharf.routing import (
     SAFE_METHODS,
     BeginStatus,
@@ -79,12 +80,17 @@
 
         ``body`` is bytes or an iterator of bytes.
         """
+        node = self._node
+        if request.leaving is not None:
+            # The sender may know more of the server than a process that restarted.
+            node.ports.server_leaves(from_message(request.leaving, now_s))
         served = self._serve(request, body, now_s)
+        served.reply.leaving = to_message(node.leaving_backend, boottime_s())
         if not request.key:
             # Other nodes choose among the servers by what their replies tell.
-            cold_left_s = self._node.load.cold.cold_left_s(boottime_s())
+            cold_left_s = node.load.cold.cold_left_s(boottime_s())
             served.reply.cold_ms = math.ceil(cold_left_s * 1000) or None
-            served.reply.limit_per_s = self._node.load.rate_limit.limit_per_s
+            served.reply.limit_per_s = node.load.rate_limit.limit_per_s
         return served
 
     def _serve(self, request, body, now_s):
--- a/comfreywharf/daemon/servers/backend_lifecycle.py
+++ b/comfreywharf/daemon/servers/backend_lifecycle.py
@@ -5,6 +5,7 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.servers.draining import record_draining
 from comfreywharf.membership.instances import HeartbeatKind, InstanceTracker
+from comfreywharf.membership.leaving import LeavingServer
 
 __all__ = ["BackendLifecycle"]
 
@@ -65,7 +66,7 @@
         elif kind is HeartbeatKind.SAME:
             self._node.backend_announced(self._announcement)
         if kind is HeartbeatKind.LEAVES:
-            self._start_leaving()
+            self._start_leaving(now_s)
         is_current = (
             self._instances.current == incarnation and kind is not HeartbeatKind.STALE
         )
@@ -75,8 +76,12 @@
 
     def receive_deregistration(self, incarnation):
         """Process a deregistration: the server leaves, or has left."""
+        self.record_leaving(incarnation, boottime_s())
+
+    def record_leaving(self, incarnation, since_s):
+        """Record that an incarnation leaves, which was known somewhere ``since_s``."""
         if self._instances.record_leaving(incarnation) is HeartbeatKind.LEAVES:
-            self._start_leaving()
+            self._start_leaving(since_s)
 
     def record_end(self):
         """Record that the current incarnation has ended."""
@@ -117,22 +122,26 @@
         elif found and self._instances.current == incarnation:
             self._node.backend_lost("another instance answers")
 
-    def _start_leaving(self):
-        self._node.backend_leaves(self._instances.current.instance)
-        gevent.spawn(self._drain, self._instances.current)
-
-    def _drain(self, incarnation):
+    def _start_leaving(self, since_s):
         """Record in the log that the server leaves, and stop new work in time.
 
         This node sends the server no new request after ``drain_s``, whether or not the
         log is reachable.
         """
-        gevent.spawn(self._record_leaving, incarnation)
-        gevent.sleep(self._drain_s - DRAIN_MARGIN_S)
+        incarnation = self._instances.current
+        self._node.backend_leaves(LeavingServer(incarnation, since_s))
+        gevent.spawn(self._append_leaving, incarnation)
+        left_s = since_s + self._drain_s - DRAIN_MARGIN_S - boottime_s()
+        if left_s <= 0:
+            self._node.close_to_new_work()
+        else:
+            gevent.spawn_later(left_s, self._close_if_leaving, incarnation)
+
+    def _close_if_leaving(self, incarnation):
         if self._instances.current == incarnation and self._instances.leaving:
             self._node.close_to_new_work()
 
-    def _record_leaving(self, incarnation):
+    def _append_leaving(self, incarnation):
         while self._instances.current == incarnation and self._instances.leaving:
             if record_draining(self._node, True):
                 return
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -229,6 +229,10 @@
         """Report to the lifecycle that the backend server is lost."""
         self.lifecycle.record_end()
 
+    def server_leaves(self, server):
+        """Tell the lifecycle that a server leaves; it ignores one of another node."""
+        self.lifecycle.record_leaving(server.incarnation, server.since_s)
+
     def greenlets(self, node):
         """Return the functions that read the configuration and declare its services."""
         reader = ConfigurationReader(
--- a/comfreywharf/platform/statements.py
+++ b/comfreywharf/platform/statements.py
@@ -8,6 +8,8 @@
 __all__ = ["read_statement"]
 
 LIMIT_HEADER = "server-limit"
+LEAVING_HEADER = "server-leaving"
+LEAVING = "1"
 MAX_LOGGED_CHARS = 80
 
 _DECIMAL = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?|\.[0-9]{1,20}")
@@ -18,11 +20,13 @@
 
     A header that comes twice, or isn't a decimal number, is a damaged limit.
     """
+    leaving = response.get(LEAVING_HEADER) == LEAVING
     text = response.get(LIMIT_HEADER)
     if text is None:
-        return Statement()
+        return Statement(leaving=leaving)
     if isinstance(text, str) and _DECIMAL.fullmatch(text):
         limit_per_s = float(text)
         if limit_per_s <= MAX_LIMIT_PER_S:
-            return Statement(limit_per_s=limit_per_s)
-    return Statement(damaged_limit=str(text)[:MAX_LOGGED_CHARS])
+            return Statement(limit_per_s=limit_per_s, leaving=leaving)
+    damaged_limit = str(text)[:MAX_LOGGED_CHARS]
+    return Statement(damaged_limit=damaged_limit, leaving=leaving)
--- a/comfreywharf/platform/tests/test_statements.py
+++ b/comfreywharf/platform/tests/test_statements.py
@@ -26,6 +26,13 @@
     assert statement.damaged_limit is not None
 
 
-def test_an_answer_without_the_header_names_no_limit():
+def test_an_answer_without_the_headers_states_nothing():
     """Most answers state nothing."""
     assert read_statement({}) == Statement()
+
+
+def test_a_server_that_leaves_is_read_beside_any_limit():
+    """Guards against a leaving server whose limit can't be read."""
+    assert read_statement({"server-leaving": "1"}).leaving
+    assert read_statement({"server-leaving": "1", "server-limit": "x"}).leaving
+    assert not read_statement({"server-leaving": "0"}).leaving
--- a/comfreywharf/platform/unknown_names.py
+++ b/comfreywharf/platform/unknown_names.py
@@ -52,6 +52,7 @@
 _KNOWN = {
     MessageKind.SERVER_ANSWER: _COMMON_HEADERS
     | {
+        "server-leaving",
         "server-limit",
         "x-attempt-id",
         "x-handover",
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -118,6 +118,102 @@
         return not (self == other)
 
 
+class LeavingServer(object):
+    """
+    Attributes:
+     - instance
+     - started_ms
+     - since_ms
+
+    """
+
+    __slots__ = (
+        'instance',
+        'started_ms',
+        'since_ms',
+    )
+
+
+    def __init__(self, instance=None, started_ms=None, since_ms=None,):
+        self.instance = instance
+        self.started_ms = started_ms
+        self.since_ms = since_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.since_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingServer')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.since_ms is not None:
+            oprot.writeFieldBegin('since_ms', TType.I32, 3)
+            oprot.writeI32(self.since_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.since_ms is None:
+            raise TProtocolException(message='Required field since_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ForwardRequest(object):
     """
     Attributes:
@@ -141,6 +237,7 @@
      - body_bytes
      - sent_ms
      - max_wait_ms
+     - leaving
 
     """
 
@@ -165,10 +262,11 @@
         'body_bytes',
         'sent_ms',
         'max_wait_ms',
+        'leaving',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0, max_wait_ms=None,):
+    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0, max_wait_ms=None, leaving=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -189,6 +287,7 @@
         self.body_bytes = body_bytes
         self.sent_ms = sent_ms
         self.max_wait_ms = max_wait_ms
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -305,6 +404,12 @@
                     self.max_wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.leaving = LeavingServer()
+                    self.leaving.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -398,6 +503,10 @@
             oprot.writeFieldBegin('max_wait_ms', TType.I32, 20)
             oprot.writeI32(self.max_wait_ms)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.STRUCT, 21)
+            self.leaving.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -560,6 +669,7 @@
      - retries_left
      - cold_ms
      - limit_per_s
+     - leaving
 
     """
 
@@ -576,10 +686,11 @@
         'retries_left',
         'cold_ms',
         'limit_per_s',
+        'leaving',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -592,6 +703,7 @@
         self.retries_left = retries_left
         self.cold_ms = cold_ms
         self.limit_per_s = limit_per_s
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -668,6 +780,12 @@
                     self.limit_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.leaving = LeavingServer()
+                    self.leaving.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -729,6 +847,10 @@
             oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 12)
             oprot.writeDouble(self.limit_per_s)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.STRUCT, 13)
+            self.leaving.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3092,6 +3214,13 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
 )
+all_structs.append(LeavingServer)
+LeavingServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.I32, 'since_ms', None, None, ),  # 3
+)
 all_structs.append(ForwardRequest)
 ForwardRequest.thrift_spec = (
     None,  # 0
@@ -3115,6 +3244,7 @@
     (18, TType.I64, 'body_bytes', None, -1, ),  # 18
     (19, TType.I64, 'sent_ms', None, 0, ),  # 19
     (20, TType.I32, 'max_wait_ms', None, None, ),  # 20
+    (21, TType.STRUCT, 'leaving', [LeavingServer, None], None, ),  # 21
 )
 all_structs.append(UploadOpened)
 UploadOpened.thrift_spec = (
@@ -3137,6 +3267,7 @@
     (10, TType.I32, 'retries_left', None, None, ),  # 10
     (11, TType.I32, 'cold_ms', None, None, ),  # 11
     (12, TType.DOUBLE, 'limit_per_s', None, None, ),  # 12
+    (13, TType.STRUCT, 'leaving', [LeavingServer, None], None, ),  # 13
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -20,6 +20,13 @@
   2: required string value
 }
 
+// A backend server that leaves. Its incarnation tells it from the next one there.
+struct LeavingServer {
+  1: required string instance,
+  2: optional i64 started_ms,          // since the epoch, by the server's clock
+  3: required i32 since_ms             // how long ago the sender learned it
+}
+
 struct ForwardRequest {
   1: required string request_id,
   2: required string service_name,
@@ -42,7 +49,8 @@
   18: required i64 body_bytes = -1,    // its length; -1: unknown
   // By the sender's clock; the receiver compares it only with earlier values:
   19: required i64 sent_ms = 0,        // 0: unknown
-  20: optional i32 max_wait_ms         // refuse it if it would wait longer for a slot
+  20: optional i32 max_wait_ms,        // refuse it if it would wait longer for a slot
+  21: optional LeavingServer leaving   // the receiver's server, as the sender knows it
 }
 
 struct UploadOpened {
@@ -62,7 +70,8 @@
   9: required i64 event_clock,
   10: required i32 retries_left,
   11: optional i32 cold_ms,            // how long the sender's server stays cold
-  12: optional double limit_per_s      // what the sender's server takes; unset: no limit
+  12: optional double limit_per_s,     // what the sender's server takes; unset: no limit
+  13: optional LeavingServer leaving   // the sender's server, if it leaves
 }
 
 struct BodyChunk {
