Bound answers that go on until the connection is closed

Cause: a receive that finds bytes at once never switches to other greenlets, so that neither timeouts nor other greenlets run, and neither the head of an answer nor the parts of a body that carry no bytes have a bound. Answers of the store, of probes and of the question who is at an address were read whole without one.

Change: each receive of an answer but the first lets other greenlets run. A head has at most 64 KiB, 256 headers and 16 interim responses, and so many bytes in a row may come that aren't of the body; what is read whole or dropped has a bound. The connection is closed, the request ends as unknown and counts as the server's failure.

Not changed: frames between nodes and callers' bodies, which have bounds.

--- a/comfreywharf/daemon/connections/http.py
+++ b/comfreywharf/daemon/connections/http.py
@@ -2,8 +2,8 @@
 
 import socket as std_socket
 import struct
-import sys
 
+import gevent
 from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPResponse
@@ -21,6 +21,15 @@
 BLOCK_BYTES = 64 * 1024
 NO_LINGER = struct.pack("ii", 1, 0)
 
+HEAD_BLOCK_BYTES = 8 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_LINES = 256
+MAX_INTERIM_RESPONSES = 16
+"""Bounds on the head of an answer. A server in trouble may send bytes without end."""
+
+MAX_DROPPED_BYTES = 256 * 1024
+"""The longest body of an answer that is read only to use its connection again."""
+
 LONG_BODY_BYTES = 4096
 """Body length from which a server may refuse a request before it has read the body. A
 shorter body arrives with the headers, in the first segments of a connection."""
@@ -111,6 +120,9 @@
         self._sock = sock
         self._pool = pool
         self._whole = False
+        self._other_bytes = 0
+        self._interim_responses = 0
+        self._receives = 0
         self.keeps_connection = False
 
     @property
@@ -137,6 +149,18 @@
         super()._on_message_complete()
         if self.get_code() >= 200:
             self._whole = True
+            return
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise HTTPParseError(
+                f"received {self._interim_responses} interim responses; "
+                f"expected at most {MAX_INTERIM_RESPONSES}"
+            )
+
+    def _flush_header(self):
+        super()._flush_header()
+        if self._header_position > MAX_HEAD_LINES:
+            raise HTTPParseError(f"the answer has more than {MAX_HEAD_LINES} headers")
 
     def _has_length(self):
         return (
@@ -159,7 +183,7 @@
         if self._whole:
             self.release()
 
-    def read(self, length=sys.maxsize):
+    def read(self, length):
         """Return up to ``length`` bytes of the body; none only at its end.
 
         Raises `OSError` or `HTTPParseError` if the answer is truncated.
@@ -175,14 +199,47 @@
         del self._body_buffer[:length]
         return data
 
+    def read_whole(self, max_bytes):
+        """Return the whole body; raise `HTTPParseError` if it is longer than a bound.
+
+        Raises `OSError` or `HTTPParseError` if the answer is truncated.
+        """
+        data = self.read(max_bytes + 1)
+        if len(data) > max_bytes:
+            raise HTTPParseError(f"the answer's body is longer than {max_bytes} bytes")
+        if not self._whole:
+            self.read(1)
+        return data
+
+    def drop(self):
+        """Read the answer to its end, and drop its body.
+
+        Raises `HTTPParseError` if there are more than `MAX_DROPPED_BYTES` left.
+        """
+        left_bytes = MAX_DROPPED_BYTES
+        while not self._whole:
+            left_bytes -= len(self.read(min(BLOCK_BYTES, left_bytes + 1)))
+            if left_bytes < 0:
+                raise HTTPParseError(
+                    f"the answer's body is longer than {MAX_DROPPED_BYTES} bytes"
+                )
+
     def _receive(self):
         if self._sock is None:
             raise HTTPParseError("the connection was already released")
-        data = self._sock.recv(BLOCK_BYTES)
+        if self._receives:
+            # A receive that finds bytes doesn't switch to other greenlets. A server
+            # that sends without end would otherwise stop the node, and no timeout
+            # would fire.
+            gevent.sleep(0)
+        self._receives += 1
+        block_bytes = BLOCK_BYTES if self.headers_complete else HEAD_BLOCK_BYTES
+        data = self._sock.recv(block_bytes)
         if not data and not self.headers_complete:
             raise HTTPParseError(
                 "the connection was closed before the end of the answer's headers"
             )
+        buffered_bytes = len(self._body_buffer)
         try:
             self.feed(data)
         except HTTPParseError:
@@ -190,6 +247,20 @@
             # `release` closes the connection.
             if not self._whole:
                 raise
+        self._check_progress(len(data), buffered_bytes)
+
+    def _check_progress(self, received_bytes, buffered_bytes):
+        """Bound the bytes of the head, and those in a row that aren't of the body."""
+        in_head = not self.headers_complete or self.get_code() < 200
+        if not in_head and len(self._body_buffer) > buffered_bytes:
+            self._other_bytes = 0
+            return
+        self._other_bytes += received_bytes
+        if self._other_bytes > MAX_HEAD_BYTES:
+            raise HTTPParseError(
+                f"received {self._other_bytes} bytes that aren't of the answer's body; "
+                f"expected at most {MAX_HEAD_BYTES}"
+            )
 
     def abort(self):
         """Shut the connection down; a greenlet that reads from it gets an error."""
@@ -344,8 +415,7 @@
         response.keeps_connection = True
         try:
             response.read_head()
-            while not response.whole:
-                response.read(BLOCK_BYTES)
+            response.drop()
             if answered is not None:
                 answered()
         finally:
--- a/comfreywharf/daemon/operating/diagnosis.py
+++ b/comfreywharf/daemon/operating/diagnosis.py
@@ -12,6 +12,7 @@
 __all__ = ["diagnose"]
 
 PROBE_TIMEOUT_S = 1.0
+MAX_PROBE_BYTES = 64 * 1024
 MAX_PROBED_PEERS = 32
 MAX_FOLD_LAG = 1000
 """More records behind the log's end than this fail the check of the log."""
@@ -95,7 +96,7 @@
     try:
         with gevent.Timeout(PROBE_TIMEOUT_S):
             response = client.request("GET", "/health")
-            response.read()
+            response.read_whole(MAX_PROBE_BYTES)
         found = f"{name}: health answers {response.status_code}"
         well = response.status_code == 200
     except (gevent.Timeout, OSError, ValueError) as error:
--- a/comfreywharf/daemon/records/logclient.py
+++ b/comfreywharf/daemon/records/logclient.py
@@ -20,6 +20,9 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 CONCURRENCY = 8
+MAX_ANSWER_BYTES = 128 * 1024 * 1024
+"""More than a batch of the largest records, in JSON."""
+
 
 WAITED_FRACTION = 0.9
 """Fraction of the requested wait that an empty answer is assumed to have waited."""
@@ -166,7 +169,7 @@
         try:
             with gevent.Timeout(timeout_s):
                 response = client.request(method, uri, body)
-                data = response.read()
+                data = response.read_whole(MAX_ANSWER_BYTES)
             self.traffic.count_answer(data)
             fields = orjson.loads(data) if data else {}
             return response.status_code, fields, response
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -204,8 +204,7 @@
             echoed = response.get(ID_HEADER)
             if echoed is None or echoed == request.request_id:
                 break
-            while not response.whole:
-                response.read(MAX_ANSWER_BYTES)
+            response.drop()
             response = response.next_response()
         response.keeps_connection = False
         if response.whole:
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -37,6 +37,7 @@
 __all__ = ["PlatformPorts"]
 
 IDENTIFY_TIMEOUT_S = 1.0
+MAX_PROBE_BYTES = 64 * 1024
 MISSED_HEARTBEATS = 1.4
 """After this many intervals without a heartbeat, the server's port is probed."""
 
@@ -254,7 +255,7 @@
         try:
             with gevent.Timeout(IDENTIFY_TIMEOUT_S):
                 response = client.request("GET", service.health_path)
-                response.read()
+                response.read_whole(MAX_PROBE_BYTES)
             return response.get("x-instance-id", "")
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return ""
--- a/comfreywharf/platform/store.py
+++ b/comfreywharf/platform/store.py
@@ -25,6 +25,9 @@
 the next call opens another one."""
 
 CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""More than the largest page or batch that a call asks for."""
+
 CONCURRENCY = 8
 BUSY_PAUSE_S = 0.3
 SNAPSHOT_SUFFIX = ".snapshots"
@@ -125,7 +128,7 @@
         try:
             with gevent.Timeout(timeout_s):
                 response = self._client.request(method, target, body)
-                data = response.read()
+                data = response.read_whole(MAX_ANSWER_BYTES)
             self.traffic.count_answer(data)
             if self.unknown_names is not None:
                 names = response.header_names
