--- a/comfreywharf_dev/standins/platform_store.py
+++ b/comfreywharf_dev/standins/platform_store.py
@@ -24,6 +24,7 @@
         self.first = 0
         self.records = []
         self.newest = {}
+        self._expired_newest = {}
         self.changed = Event()
 
     @property
@@ -32,31 +33,47 @@
 
     def append(self, records):
         offset = self.end
-        for index, data in enumerate(records):
-            self.records.append(data)
-            if self.keyed:
-                key, value = data[1 : 1 + data[0]].decode(), data[1 + data[0] :]
-                if value:
-                    self.newest[key] = (value, offset + index)
-                else:
-                    self.newest.pop(key, None)
+        for data in records:
+            self._add(data)
         changed, self.changed = self.changed, Event()
         changed.set()
         return offset
 
+    def _add(self, data):
+        if self.keyed:
+            key, value = data[1 : 1 + data[0]].decode(), data[1 + data[0] :]
+            if value:
+                self.newest[key] = (value, self.end)
+            else:
+                self.newest.pop(key, None)
+        self.records.append(data)
+
+    def expire(self):
+        """Drop the records, but keep the newest of each key."""
+        self._expired_newest = dict(self.newest)
+        self.first, self.records = self.end, []
+
+    def go_back(self, count):
+        """Drop the last records, as if they had never been appended."""
+        kept = self.records[: max(0, len(self.records) - count)]
+        self.newest, self.records = dict(self._expired_newest), []
+        for data in kept:
+            self._add(data)
+
 
 class PlatformStore:
     """Serve the store's calls on a port of loopback.
 
     ``fault`` is ``""``, ``"busy"`` (503), ``"silent"`` (no answer) or ``"lost"``
     (appends are applied but not answered). ``calls`` counts the requests. Each answer
-    has the ``extra_headers``.
+    has the ``extra_headers``, and names the ``era`` unless it is ``None``.
     """
 
     def __init__(self):
         self.fault = ""
         self.calls = 0
         self.extra_headers = []
+        self.era = 1
         self._topics = {}
         self._server = pywsgi.WSGIServer(("127.0.0.1", 0), self._answer, log=None)
 
@@ -90,12 +107,21 @@
 
     def expire_records(self, name):
         """Drop a topic's records, but keep the newest of each key."""
-        topic = self.topic(name)
-        topic.first, topic.records = topic.end, []
+        self.topic(name).expire()
+
+    def go_back(self, **counts):
+        """Come back from an older copy: lose each topic's last records.
+
+        ``counts`` are by topic, with ``_`` in place of dots.
+        """
+        self.era += 1
+        for name, count in counts.items():
+            self.topic(name.replace("_", ".")).go_back(count)
 
     def _answer(self, environ, start_response):
         def start_with_extra_headers(status, headers):
-            start_response(status, headers + self.extra_headers)
+            era = [] if self.era is None else [("Store-Era", str(self.era))]
+            start_response(status, headers + self.extra_headers + era)
 
         return self._answer_call(environ, start_with_extra_headers)
 
@@ -139,7 +165,7 @@
 
 def _read(topic, query, start_response):
     start = int(query["from"])
-    if start < topic.first:
+    if not topic.first <= start <= topic.end:
         fields = {"firstOffset": topic.first}
         return _respond(start_response, 410, orjson.dumps(fields))
     if start >= topic.end:
