Follow a log that comes back from an older copy

Cause: offsets of the log were taken for numbers that only grow. A store that goes back gives them out again: reads from the fold's offset get 410, which the code took for expired records without a gap, so that the fold was never confirmed again; and fences, twice an offset, came down. Ruled out by the record: two owners that lived (all processes had been killed), a fence of another record (141 and 147 are six records apart).

The adapter reads the era of each answer of the store; answers of an earlier era are no answers. In a new era one node writes down, under a condition, with which state all continue: its own if it had caught up, so that what only the log has lost isn't lost; else, after 2 s, what the log still has.

The row length of hold lists allows for longer fences.

--- a/comfreywharf/daemon/records/follower.py
+++ b/comfreywharf/daemon/records/follower.py
@@ -12,16 +12,23 @@
 from comfreywharf.daemon.records.appender import Appender, NotAcknowledged
 from comfreywharf.daemon.records.logclient import (
     LogError,
+    LogRestored,
     LogTruncated,
     complete_at_s,
 )
+from comfreywharf.daemon.records.restoring import find_continued, write_continued
 from comfreywharf.daemon.records.snapshots import read_newest, write_snapshot_past_gap
 from comfreywharf.records.appends import Backoff, Priority
+from comfreywharf.records.positions import era_of, offset_of
 from comfreywharf.records.replica import Replica
 
 __all__ = ["Follower", "NotAcknowledged", "ReadOptions", "new_record_id"]
 
 MAX_RETRY_S = 2.0
+RESTORED_TIMEOUT_S = 2.0
+"""How long a node that starts waits for a running one to say how the state goes on,
+after the log has lost records."""
+
 GAP_TIMEOUT_S = 4.0
 """How long a gap must last before the missing records are given up. It is longer than
 a lease and several exchanges between peers together."""
@@ -66,6 +73,7 @@
         self._load_listeners = []
         self._gap_reported = False
         self._gap_since_s = None
+        self._restored_since_s = None
         self.confirmed_s = float("-inf")
         self._snapshot_checked = False
         self._was_reachable = False
@@ -101,6 +109,11 @@
         """Return whether the log keeps the newest snapshot permanently."""
         return self._client.keeps_newest
 
+    @property
+    def in_newest_era(self):
+        """Return whether the state is of the log's newest era that is known."""
+        return era_of(self.state.next_offset) >= self._client.newest_era
+
     @property
     def log_first(self):
         """Return the oldest offset that the log is known to retain."""
@@ -273,6 +286,9 @@
         sent_s = boottime_s()
         try:
             batch = self._client.read(self._stream, start, wait_ms=wait_ms)
+        except LogRestored as error:
+            self._continue_restored(error.first)
+            return
         except LogTruncated as error:
             self.replica.record_truncation(error.first)
             self._report_gap(error.first)
@@ -285,6 +301,47 @@
             self.caught_up.set()
             self.confirm(complete_at_s(sent_s, wait_ms / 1000, bool(batch.records)))
 
+    def _continue_restored(self, first):
+        """Continue in the new era of a log that came back from an older copy.
+
+        One node writes down with which state all continue. A node that had caught up
+        before writes its own, which has the lost records. A node that starts leaves
+        that to the running ones for `RESTORED_TIMEOUT_S`.
+        """
+        before = self.state.next_offset
+        found = find_continued(self._client, self._snapshot_stream, first)
+        if found.state is None and not before and not offset_of(first):
+            self._restored_since_s = None
+            self.replica.start_at(first)
+            return
+        if not found.continues:
+            complete = self.usable
+            if not complete and self._restored_lately(boottime_s()):
+                return
+            found = write_continued(
+                self._client,
+                self._stream,
+                self._snapshot_stream,
+                found,
+                self.state if complete else None,
+            )
+            if found is None:
+                return
+            self._report(
+                "log_restored",
+                era=era_of(first),
+                before=before,
+                after=found.state.next_offset,
+                complete=complete,
+            )
+        self._restored_since_s = None
+        self.load(found.state)
+
+    def _restored_lately(self, now_s):
+        if self._restored_since_s is None:
+            self._restored_since_s = now_s
+        return now_s < self._restored_since_s + RESTORED_TIMEOUT_S
+
     def _report_gap(self, first):
         if not self.gap:
             self._gap_since_s = None
--- a/comfreywharf/daemon/records/logclient.py
+++ b/comfreywharf/daemon/records/logclient.py
@@ -12,6 +12,7 @@
     "LogBusy",
     "LogClient",
     "LogError",
+    "LogRestored",
     "LogTraffic",
     "LogTruncated",
     "complete_at_s",
@@ -64,6 +65,17 @@
         self.next = next_
 
 
+class LogRestored(LogTruncated):
+    """The log has come back from an older copy, and gives offsets out again.
+
+    What was appended after that copy is gone. ``first`` is the position of the oldest
+    retained record in the new era.
+    """
+
+    def __init__(self, first):
+        super().__init__(first, first)
+
+
 @attrs.frozen(kw_only=True)
 class Batch:
     """Records read from a stream, with the stream's bounds."""
@@ -100,6 +112,9 @@
     """
 
     keeps_newest = False
+    newest_era = 0
+    """The highest era of the log that is known. It rises when the log loses records."""
+
     takes_batches = False
     """Whether ``append_all(stream, records)`` appends several records at once."""
 
--- a/comfreywharf/daemon/records/snapshots.py
+++ b/comfreywharf/daemon/records/snapshots.py
@@ -143,7 +143,9 @@
         planner writes, so that no record has to inform the other nodes.
         """
         follower = self._follower
-        ready = follower.usable and follower.reachable
+        # In a new era, one node says how the state goes on; another snapshot would
+        # replace that one.
+        ready = follower.usable and follower.reachable and follower.in_newest_era
         return ready and follower.state.next_offset > self._written_offset
 
     def run_for_planner(self, planner):
--- a/comfreywharf/platform/heartbeats.py
+++ b/comfreywharf/platform/heartbeats.py
@@ -22,7 +22,7 @@
 """Enough for about 4,000 ranges that a server holds or has released."""
 
 HOLD_LIST_LIMIT = ListCapacity(
-    max_bytes=4000, row_bytes=len('[65535,65535,1234567,""],')
+    max_bytes=4000, row_bytes=len('[65535,65535,1234567890123456,""],')
 )
 """A server doesn't accept an answer of more than 4 KiB as an acknowledgement."""
 
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -38,6 +38,7 @@
 
 IDENTIFY_TIMEOUT_S = 1.0
 MAX_PROBE_BYTES = 64 * 1024
+MAX_LOGGED_CHARS = 80
 MISSED_HEARTBEATS = 1.4
 """After this many intervals without a heartbeat, the server's port is probed."""
 
@@ -125,6 +126,9 @@
         """Return the client of the record log in the store."""
         self._unknown_names = UnknownNames(node.report, node.metrics)
         self.store.unknown_names = self._unknown_names
+        self.store.eras.report_damaged = lambda text: node.report(
+            "damaged_log_era", found=text[:MAX_LOGGED_CHARS]
+        )
         return StoreLog(self.store)
 
     def make_backend(self, node, announcement):
--- a/comfreywharf/platform/store.py
+++ b/comfreywharf/platform/store.py
@@ -13,10 +13,13 @@
     Batch,
     LogBusy,
     LogError,
+    LogRestored,
     LogTraffic,
     LogTruncated,
 )
+from comfreywharf.platform.eras import EraTracker
 from comfreywharf.platform.unknown_names import MessageKind
+from comfreywharf.records.positions import era_of, offset_of, position
 
 __all__ = ["NewestValues", "Store", "StoreLog", "TopicRecords"]
 
@@ -38,7 +41,7 @@
 
 @attrs.frozen
 class TopicRecords:
-    """Records read from a topic, with its end offset and that of its first record."""
+    """Records read from a topic, with the positions of its end and first record."""
 
     end: int
     first: int
@@ -47,60 +50,76 @@
 
 @attrs.frozen
 class NewestValues:
-    """The newest value of each key of a topic, and the topic's end offset."""
+    """The newest value of each key of a topic, and the position of the topic's end."""
 
     values: dict
     end: int
 
 
 class Store:
-    """Calls to the store; each raises `LogError` if there is no usable answer."""
+    """Calls to the store; each raises `LogError` if there is no usable answer.
+
+    Where the store speaks of offsets, these calls speak of positions, which hold the
+    store's era; see `comfreywharf.records.positions`.
+    """
 
     def __init__(self, address):
         self.traffic = LogTraffic()
         self.unknown_names = None
+        self.eras = EraTracker()
         make = SingleSendClient
         settings = {"concurrency": CONCURRENCY, "connect_timeout_s": CONNECT_TIMEOUT_S}
         self._client = make(address.host, address.port, **settings)
 
-    def append(self, topic, records, position=None):
-        """Append records to a topic, all or none; return the first one's offset.
+    def append(self, topic, records, at=None):
+        """Append records to a topic, all or none; return the first one's position.
 
-        With a ``position``, they are appended only if the topic ends at this offset;
-        otherwise ``None`` is returned.
+        With an ``at``, they are appended only if the topic ends at this position;
+        otherwise ``None`` is returned. It is also returned if the store has lost
+        records since: the topic may then end at the same offset with other records.
         """
         body = b"".join(_LENGTH.pack(len(data)) + data for data in records)
         target = f"/-/log-append?topic={topic}&part=0"
-        if position is not None:
-            target += f"&at={position}"
-        status, answer = self._call("POST", target, body, CALL_TIMEOUT_S)
-        if status == 412 and position is not None:
+        if at is not None:
+            target += f"&at={offset_of(at)}"
+        status, answer, era = self._call("POST", target, body, CALL_TIMEOUT_S)
+        if status == 412 and at is not None:
             return None
         if status != 200:
             raise LogError(f"append to the store: status {status}")
-        return _field(answer, "offset")
+        if at is not None and era != era_of(at):
+            return None
+        return position(era, _field(answer, "offset"))
 
-    def append_keyed(self, topic, key, value, position=None):
+    def append_keyed(self, topic, key, value, at=None):
         """Append a value that becomes the newest of its key; see `append`."""
         name = key.encode("ascii")
-        return self.append(topic, [bytes([len(name)]) + name + value], position)
+        return self.append(topic, [bytes([len(name)]) + name + value], at)
 
     def read(self, topic, start, wait_s, max_kb=1024):
-        """Return the `TopicRecords` from an offset on.
+        """Return the `TopicRecords` from a position on.
 
-        If there is no record yet, wait up to ``wait_s`` for one.
+        If there is no record yet, wait up to ``wait_s`` for one. Raises `LogTruncated`
+        if the records have expired, `LogRestored` if ``start`` is of an earlier era.
         """
         target = (
-            f"/-/log-read?topic={topic}&part=0&from={start}"
+            f"/-/log-read?topic={topic}&part=0&from={offset_of(start)}"
             f"&waitMs={int(wait_s * 1000)}&maxKb={max_kb}"
         )
-        status, data = self._call("GET", target, b"", CALL_TIMEOUT_S + wait_s)
+        status, data, era = self._call("GET", target, b"", CALL_TIMEOUT_S + wait_s)
+        if era < era_of(start):
+            raise LogError(f"read from the store: an answer of its earlier era {era}")
         if status == 410:
-            first = _field(data, "firstOffset")
+            first = position(era, _field(data, "firstOffset"))
+            if era > era_of(start):
+                raise LogRestored(first)
             raise LogTruncated(first, first)
         if status != 200:
             raise LogError(f"read from the store: status {status}")
-        return _records(data)
+        found = _records(data, era)
+        if era > era_of(start):
+            raise LogRestored(found.first)
+        return found
 
     def newest(self, topic):
         """Return the `NewestValues` of a topic; its name begins with ``keyed.``."""
@@ -109,13 +128,15 @@
             target = f"/-/log-newest?topic={topic}&part=0"
             if after:
                 target += f"&after={after}"
-            status, data = self._call("GET", target, b"", CALL_TIMEOUT_S)
+            status, data, era = self._call("GET", target, b"", CALL_TIMEOUT_S)
             if status != 200:
                 raise LogError(f"read of newest values: status {status}")
             # The pages aren't a consistent snapshot: records appended after the
             # first page was read are read from its end position on.
             if not after:
-                end = _field(data, "endPosition")
+                end = position(era, _field(data, "endPosition"))
+            elif era != era_of(end):
+                raise LogError("the store lost records between two pages")
             for item in _field(data, "items"):
                 values[item["key"]] = base64.b64decode(item["value"])
                 after = item["key"]
@@ -142,9 +163,10 @@
         finally:
             if response is not None:
                 response.release()
+        era = self.eras.era_of(response)
         if response.status_code in (429, 503, 507):
             raise LogBusy(BUSY_PAUSE_S)
-        return response.status_code, data
+        return response.status_code, data, era
 
 
 def _field(data, name):
@@ -154,7 +176,7 @@
         raise LogError(f"the store's answer has no field {name!r}") from error
 
 
-def _records(data):
+def _records(data, era):
     if len(data) < _BOUNDS.size:
         raise LogError("the store's read answer has fewer than 16 bytes")
     end, first = _BOUNDS.unpack_from(data)
@@ -167,7 +189,7 @@
             raise LogError("the store's read answer ends within a record")
         found.append(data[offset : offset + size])
         offset += size
-    return TopicRecords(end, first, tuple(found))
+    return TopicRecords(position(era, end), position(era, first), tuple(found))
 
 
 class StoreLog:
@@ -183,23 +205,28 @@
     def __init__(self, store):
         self._store = store
 
+    @property
+    def newest_era(self):
+        """Return the highest era that an answer of the store has named."""
+        return self._store.eras.latest or 0
+
     @property
     def traffic(self):
         """Return the `LogTraffic` with the store, of all parts of the node."""
         return self._store.traffic
 
     def append(self, stream, data):
-        """Append a record or a part of a snapshot, and return its offset."""
+        """Append a record or a part of a snapshot, and return its position."""
         if stream.endswith(SNAPSHOT_SUFFIX):
             return self._store.append_keyed(_topic(stream), "newest", data)
         return self.append_all(stream, [data])
 
     def append_all(self, stream, records):
-        """Append several records at once and return the offset of the first."""
+        """Append several records at once and return the position of the first."""
         return self._store.append(stream, records)
 
     def read(self, stream, start, limit=200, wait_ms=0):
-        """Return a `Batch` from an offset on; wait up to ``wait_ms`` for a record."""
+        """Return a `Batch` from a position on; wait up to ``wait_ms`` for a record."""
         found = self._store.read(stream, start, wait_ms / 1000)
         return Batch(first=found.first, next=found.end, records=found.data)
 
--- a/comfreywharf/platform/unknown_names.py
+++ b/comfreywharf/platform/unknown_names.py
@@ -61,7 +61,7 @@
         "x-not-executed",
         "x-response-stamp",
     },
-    MessageKind.STORE_ANSWER: _COMMON_HEADERS,
+    MessageKind.STORE_ANSWER: _COMMON_HEADERS | {"store-era"},
     MessageKind.HEARTBEAT: frozenset(
         {
             "address",
--- a/comfreywharf/records/recent.py
+++ b/comfreywharf/records/recent.py
@@ -32,15 +32,19 @@
     def add(self, offset, data):
         """Add a record; if it doesn't follow the last one, remove the others first."""
         if offset != self.next:
-            self._records.clear()
-            self._bytes = 0
-            self.first = offset
+            self.start_at(offset)
         self._records.append(data)
         self._bytes += len(data)
         while len(self._records) > self._max_records or self._bytes > self._max_bytes:
             self._bytes -= len(self._records.popleft())
             self.first += 1
 
+    def start_at(self, offset):
+        """Drop all records, and continue with that at an offset."""
+        self._records.clear()
+        self._bytes = 0
+        self.first = offset
+
     def since(self, offset, max_bytes):
         """Return ``[(offset, data)]`` from an offset on, or ``None``.
 
--- a/comfreywharf/records/replica.py
+++ b/comfreywharf/records/replica.py
@@ -89,8 +89,15 @@
         if not newer and state.next_offset <= self.state.next_offset:
             return False
         self.state.replace_by(state)
+        # What a peer was sent before would not lead it to this state.
+        self.recent.start_at(state.next_offset)
         return True
 
+    def start_at(self, position):
+        """Start with an empty state at a position, in a log without a snapshot."""
+        self.state.next_offset = position
+        self.recent.start_at(position)
+
     def update_log_bounds(self, start, log_first, log_next):
         """Update the bounds of the log from the answer to a read at ``start``."""
         self._log_first = max(self._log_first, log_first)
