Remember a server's leaving that a new process hears of before the server

Cause, from the lines on: the node's process starts again at 23.84 s and acknowledges the server's leaving at 24.10 s; it first uses the server at 26.23 s (E501), by a heartbeat that is late and doesn't tell of the leaving, and hears of it again at 26.62 s (E507). A deregistration of a server that the process didn't know was acknowledged and forgotten. Ruled out: a bound that is counted wrongly, as the process had not begun to count.

Change: the tracker of instances remembers which incarnations leave, 64 at most, also if it doesn't know them yet; one that becomes the current one then leaves since that time. Tests of the tracker name the time of each report now.

--- a/comfreywharf/daemon/servers/backend_lifecycle.py
+++ b/comfreywharf/daemon/servers/backend_lifecycle.py
@@ -46,8 +46,8 @@
         kind = self._instances.receive_heartbeat(incarnation, sequence, leaving, now_s)
         if kind is HeartbeatKind.FIRST:
             self._start_using(announcement)
-            if leaving:
-                kind = self._instances.record_leaving(incarnation)
+            if leaving and not self._instances.leaving:
+                kind = self._instances.record_leaving(incarnation, now_s)
             gevent.spawn(self._verify, announcement, sequence, cold_until_s)
         elif kind is HeartbeatKind.RIVAL and self._instances.current.started_before(
             incarnation
@@ -56,8 +56,8 @@
             # under the same id.
             self._instances.set_current(incarnation, sequence, boottime_s())
             self._start_using(announcement)
-            if leaving:
-                kind = self._instances.record_leaving(incarnation)
+            if leaving and not self._instances.leaving:
+                kind = self._instances.record_leaving(incarnation, now_s)
         elif kind is HeartbeatKind.RIVAL:
             gevent.spawn(self._verify, announcement, sequence, cold_until_s)
         elif kind is HeartbeatKind.SAME and self._node.backend is None:
@@ -80,7 +80,8 @@
 
     def record_leaving(self, incarnation, since_s):
         """Record that an incarnation leaves, which was known somewhere ``since_s``."""
-        if self._instances.record_leaving(incarnation) is HeartbeatKind.LEAVES:
+        kind = self._instances.record_leaving(incarnation, since_s)
+        if kind is HeartbeatKind.LEAVES:
             self._start_leaving(since_s)
 
     def record_end(self):
@@ -91,6 +92,9 @@
         self._announcement = announcement
         self._node.backend_announced(announcement)
         gevent.spawn(self._record_return)
+        leaving_since_s = self._instances.take_known_leaving()
+        if leaving_since_s is not None:
+            self._start_leaving(leaving_since_s)
 
     def _record_cold(self, announcement, cold_until_s):
         remaining_s = max(0.0, cold_until_s - boottime_s())
--- a/comfreywharf/daemon/tests/test_backend_lost.py
+++ b/comfreywharf/daemon/tests/test_backend_lost.py
@@ -7,7 +7,10 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.node import Node
 from comfreywharf.daemon.ports import OwnPorts
-from comfreywharf.daemon.servers.backend_lifecycle import BackendLifecycle
+from comfreywharf.daemon.servers.backend_lifecycle import (
+    DRAIN_MARGIN_S,
+    BackendLifecycle,
+)
 from comfreywharf.daemon.tests.builders import announcement, node_settings
 
 
@@ -83,3 +86,25 @@
     node.backend_refused(backend)
     assert node.backend is None
     ours.close()
+
+
+def test_a_server_that_deregistered_at_a_new_process_stays_leaving():
+    """Guards against requests to a leaving server by an older heartbeat of it.
+
+    The process has just started and hears of the server's leaving first.
+    """
+    node, _ = make_node()
+    lifecycle = BackendLifecycle(node, drain_s=DRAIN_MARGIN_S)
+    lifecycle.receive_deregistration(announcement("i-1").incarnation)
+    lifecycle.receive_heartbeat(announcement("i-1"), 1, False)
+    assert node.leaving_backend is not None
+    assert node.closed_to_new_work
+
+
+def test_the_next_incarnation_isnt_taken_for_the_leaving_one():
+    """Guards against a server without work since the one before it had left."""
+    node, _ = make_node()
+    lifecycle = BackendLifecycle(node, drain_s=DRAIN_MARGIN_S)
+    lifecycle.receive_deregistration(announcement("i-1").incarnation)
+    lifecycle.receive_heartbeat(announcement("i-2"), 1, False)
+    assert node.leaving_backend is None
--- a/comfreywharf/membership/instances.py
+++ b/comfreywharf/membership/instances.py
@@ -13,6 +13,10 @@
 then, a report with a start before the newest one is considered late."""
 
 
+MAX_KNOWN_LEAVING = 64
+"""How many incarnations are remembered that left before they were known."""
+
+
 class HeartbeatKind(Enum):
     """What a heartbeat or a deregistration means for the current incarnation.
 
@@ -51,6 +55,7 @@
     _sequence: int = -1
     _ended: set = attrs.Factory(set)
     _newest: dict = attrs.Factory(dict)
+    _known_leaving_s: dict = attrs.Factory(dict)
     _last_report_s: float = float("-inf")
 
     def receive_heartbeat(self, incarnation, sequence, leaving, now_s):
@@ -74,7 +79,9 @@
         if not leaving:
             return HeartbeatKind.SAME
         return (
-            HeartbeatKind.LEAVING if self.leaving else self.record_leaving(incarnation)
+            HeartbeatKind.LEAVING
+            if self.leaving
+            else self.record_leaving(incarnation, now_s)
         )
 
     def _is_outdated(self, incarnation, now_s):
@@ -85,21 +92,38 @@
         damaged = incarnation.started_ms is None and newest.started_ms is not None
         return damaged or incarnation.started_before(newest)
 
-    def record_leaving(self, incarnation):
-        """Record that an incarnation leaves.
+    def record_leaving(self, incarnation, since_s):
+        """Record that an incarnation leaves, which was known ``since_s``.
 
         Return `HeartbeatKind.LEAVES` if that is the first such report of the current
-        one, and `HeartbeatKind.STALE` otherwise.
+        one, and `HeartbeatKind.STALE` otherwise. An incarnation that isn't the current
+        one is remembered: a process that has just started may hear of its leaving
+        before it hears a late heartbeat, which doesn't tell.
         """
-        if (
-            self.current is None
-            or not incarnation.may_refer_to(self.current)
-            or self.leaving
-        ):
+        if self.current is None or not incarnation.may_refer_to(self.current):
+            self._remember_leaving(incarnation, since_s)
+            return HeartbeatKind.STALE
+        if self.leaving:
             return HeartbeatKind.STALE
         self.leaving = True
         return HeartbeatKind.LEAVES
 
+    def _remember_leaving(self, incarnation, since_s):
+        if incarnation not in self._ended:
+            self._known_leaving_s.setdefault(incarnation, since_s)
+        if len(self._known_leaving_s) > MAX_KNOWN_LEAVING:
+            del self._known_leaving_s[next(iter(self._known_leaving_s))]
+
+    def take_known_leaving(self):
+        """Return since when the current incarnation is known to leave, or ``None``.
+
+        It then counts as leaving.
+        """
+        since_s = self._known_leaving_s.pop(self.current, None)
+        if since_s is not None:
+            self.leaving = True
+        return since_s
+
     def set_current(self, incarnation, sequence=-1, now_s=float("-inf")):
         """Make an incarnation the current one; the one before it has ended."""
         self.end_current()
--- a/comfreywharf/membership/tests/test_instances.py
+++ b/comfreywharf/membership/tests/test_instances.py
@@ -54,9 +54,9 @@
     """Some servers never report that they drain."""
     instances = InstanceTracker()
     instances.receive_heartbeat(A, 1, False, NOW_S)
-    assert instances.record_leaving(A) is HeartbeatKind.LEAVES
-    assert instances.record_leaving(A) is HeartbeatKind.STALE
-    assert instances.record_leaving(B) is HeartbeatKind.STALE
+    assert instances.record_leaving(A, 1.0) is HeartbeatKind.LEAVES
+    assert instances.record_leaving(A, 1.0) is HeartbeatKind.STALE
+    assert instances.record_leaving(B, 1.0) is HeartbeatKind.STALE
 
 
 def test_an_ended_incarnation_does_not_become_current_again():
@@ -123,8 +123,8 @@
 def test_a_late_deregistration_of_the_first_incarnation_changes_nothing():
     """Without a start, it applies to the current incarnation with that id."""
     instances = tracker_after_restart()
-    assert instances.record_leaving(FIRST) is HeartbeatKind.STALE
-    assert instances.record_leaving(ServerIncarnation("a")) is HeartbeatKind.LEAVES
+    assert instances.record_leaving(FIRST, 1.0) is HeartbeatKind.STALE
+    assert instances.record_leaving(ServerIncarnation("a"), 1.0) is HeartbeatKind.LEAVES
 
 
 def test_an_earlier_start_is_accepted_once_no_report_can_be_that_late():
