Move the reading of answers and the closing of connections to modules of their own

comfreywharf/daemon/connections/http.py -> response.py (BackendResponse and its bounds), closing.py (reset_on_close, shut_down).

--- a/comfreywharf/daemon/requests/caller_server.py
+++ b/comfreywharf/daemon/requests/caller_server.py
@@ -17,7 +17,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from comfreywharf.daemon.connections.http import reset_on_close
+from comfreywharf.daemon.connections.closing import reset_on_close
 from comfreywharf.daemon.requests.caller_stream import (
     BLOCK_BYTES,
     BadRequest,
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.connections.http import reset_on_close
+from comfreywharf.daemon.connections.closing import reset_on_close
 from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.requests.bodies import (
     WHOLE_BODY_BYTES,
--- a/comfreywharf/daemon/servers/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -9,7 +9,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.connections.http import SingleSendClient, shut_down
+from comfreywharf.daemon.connections.closing import shut_down
+from comfreywharf.daemon.connections.http import SingleSendClient
 from comfreywharf.membership.incarnations import ServerIncarnation
 from comfreywharf.routing import Reason
 
--- a/comfreywharf/daemon/tests/test_endless_answers.py
+++ b/comfreywharf/daemon/tests/test_endless_answers.py
@@ -53,6 +53,13 @@
             self.ticks += 1
 
 
+def make_client(server):
+    """Return a client of a server, with one connection."""
+    return SingleSendClient(
+        "127.0.0.1", server.port, concurrency=1, connect_timeout_s=1.0
+    )
+
+
 def read_until_error(client, read):
     """Read an answer with ``read(response)`` again and again; return what ends it."""
     response = None
@@ -72,9 +79,7 @@
 def test_a_head_without_an_end_is_refused_within_a_bound(name):
     """Guards against a sick server that stops its node and fills its memory."""
     with EndlessServer(*HEADS[name]) as server:
-        client = SingleSendClient(
-            "127.0.0.1", server.port, concurrency=1, connect_timeout_s=1.0
-        )
+        client = make_client(server)
         with gevent.Timeout(HANG_S), pytest.raises(HTTPParseError):
             client.request("GET", "/")
         assert server.closed.wait(HANG_S)
@@ -86,9 +91,7 @@
 def test_a_body_without_an_end_leaves_the_loop_to_others(name):
     """Guards against a deadline that never fires, and others that don't run."""
     with EndlessServer(*BODIES[name]) as server, Ticker() as ticker:
-        client = SingleSendClient(
-            "127.0.0.1", server.port, concurrency=1, connect_timeout_s=1.0
-        )
+        client = make_client(server)
         error = read_until_error(client, lambda response: response.read(65536))
         assert server.closed.wait(HANG_S)
         client.close()
@@ -99,9 +102,7 @@
 def test_an_answer_that_is_read_whole_is_bounded(name):
     """Guards against memory that a store's or a probe's answer fills."""
     with EndlessServer(*BODIES[name]) as server:
-        client = SingleSendClient(
-            "127.0.0.1", server.port, concurrency=1, connect_timeout_s=1.0
-        )
+        client = make_client(server)
         error = read_until_error(client, lambda response: response.read_whole(10_000))
         assert isinstance(error, HTTPParseError)
         assert server.closed.wait(HANG_S)
@@ -113,9 +114,7 @@
 def test_an_answer_whose_body_is_dropped_is_bounded(name):
     """Guards against a grant whose answer goes on until its time is over."""
     with EndlessServer(*BODIES[name]) as server:
-        client = SingleSendClient(
-            "127.0.0.1", server.port, concurrency=1, connect_timeout_s=1.0
-        )
+        client = make_client(server)
         with gevent.Timeout(HANG_S), pytest.raises(HTTPParseError):
             client.exchange(client.connect(), "POST", "/", "", b"")
         assert server.closed.wait(HANG_S)
