--- a/comfreywharf/daemon/tests/endless_server.py
+++ b/comfreywharf/daemon/tests/endless_server.py
@@ -3,10 +3,11 @@
 import contextlib
 import socket
 import threading
+import time
 
 __all__ = ["EndlessServer"]
 
-MAX_SENT_BYTES = 512 * 1024 * 1024
+MAX_SENT_S = 60.0
 """Ends a server whose connection nobody closes."""
 
 
@@ -45,7 +46,8 @@
         try:
             sock.recv(65536)
             sock.sendall(self._start)
-            while self.sent_bytes < MAX_SENT_BYTES:
+            end_s = time.monotonic() + MAX_SENT_S
+            while time.monotonic() < end_s:
                 self.sent_bytes += sock.send(self._block)
         except OSError:
             self.closed.set()
