Leave the delay of callers that a cold server refuses as it was

Cause: the Retry-After for a named limit was taken from all bounds, so that it changed for cold servers as well, a decision of its own that wasn't played.

Change: each bound says what delay it tells callers; only a named limit does.

--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -50,10 +50,6 @@
 """Bounds of the delay before jitter. Callers that retry long after an overload has
 ended keep new callers from being served at their first attempt."""
 
-MAX_BOUNDED_RETRY_AFTER_S = 10.0
-"""The longest delay before callers of a server retry that is bounded. A server may lift
-its limit at any moment."""
-
 RANK_WEIGHT = 0.02
 """Weight of the newest request in the moving shares of the ranks."""
 
@@ -474,5 +470,4 @@
     wanted_s = min(max(min_s, drain_s) / served, max_s)
     jittered_s = max(wanted_s * state.rng.uniform(0.5, 1.5), min_s)
     # The server admits nobody sooner, whatever the load is by then.
-    admitted_s = state.bounds.wait_s(state.waiting + 1, now_s)
-    return max(jittered_s, min(admitted_s, MAX_BOUNDED_RETRY_AFTER_S))
+    return max(jittered_s, state.bounds.retry_after_s(state.waiting + 1, now_s))
--- a/comfreywharf/load/bounds.py
+++ b/comfreywharf/load/bounds.py
@@ -45,6 +45,13 @@
         It is infinite if nothing is admitted at all.
         """
 
+    def retry_after_s(self, ahead, now_s):
+        """Return the least delay before a refused caller retries, for this bound.
+
+        ``ahead`` is its place in the queue if it came back at once.
+        """
+        return 0.0
+
 
 class ArrivalBounds(ArrivalBound):
     """Several bounds that all hold.
@@ -83,6 +90,12 @@
         """Return the longest wait of all bounds."""
         return max((bound.wait_s(ahead, now_s) for bound in self._bounds), default=0.0)
 
+    def retry_after_s(self, ahead, now_s):
+        """Return the longest delay of all bounds."""
+        return max(
+            (bound.retry_after_s(ahead, now_s) for bound in self._bounds), default=0.0
+        )
+
     def strictest(self, now_s):
         """Return the active bound with the longest wait; ``None`` if none is active."""
         active = [bound for bound in self._bounds if bound.is_active(now_s)]
--- a/comfreywharf/load/ratelimit.py
+++ b/comfreywharf/load/ratelimit.py
@@ -28,6 +28,9 @@
 """Time without an answer after which a limited server is probed. One that takes nothing
 gets no requests, and no answer of it could lift its limit."""
 
+MAX_RETRY_AFTER_S = 10.0
+"""The longest delay before refused callers retry. The limit may be lifted any time."""
+
 MAX_LIMIT_PER_S = 1e9
 """A higher limit is damaged."""
 
@@ -143,6 +146,10 @@
             return 0.0
         return missing / self.limit_per_s if self.limit_per_s else math.inf
 
+    def retry_after_s(self, ahead, now_s):
+        """Return when a caller may be admitted at the earliest, within a bound."""
+        return min(self.wait_s(ahead, now_s), MAX_RETRY_AFTER_S)
+
     @property
     def _max_tokens(self):
         return max(MIN_BURST_REQUESTS, BURST_S * self.limit_per_s)
--- a/comfreywharf/load/tests/test_ratelimit.py
+++ b/comfreywharf/load/tests/test_ratelimit.py
@@ -8,7 +8,6 @@
 
 from comfreywharf.load import ConcurrencyLimit, Ticket
 from comfreywharf.load.admission import (
-    MAX_BOUNDED_RETRY_AFTER_S,
     AdmissionState,
     Arrived,
     Begin,
@@ -24,6 +23,7 @@
 from comfreywharf.load.ratelimit import (
     BURST_S,
     LIFTED_AFTER_S,
+    MAX_RETRY_AFTER_S,
     PROBE_AFTER_S,
     ServerRateLimit,
 )
@@ -303,7 +303,7 @@
     flood(server, 40, 1.0)
     assert server.shed
     for shed, wait_s in zip(server.shed, server.waits_s, strict=True):
-        assert shed.retry_after_s >= min(wait_s, MAX_BOUNDED_RETRY_AFTER_S)
+        assert shed.retry_after_s >= min(wait_s, MAX_RETRY_AFTER_S)
 
 
 def test_the_more_urgent_requests_go_first_to_a_limited_server():
