Tell in lines and metrics how often a request reached a server

Callers and servers: the record of the incident can't tell whether a refused request had reached a server, how often, and whether its next send took a retry.

Replies say whether a refused request was sent to the server; a node of an earlier release is judged by the reason. The lines sent_again, held, given_up, refused and unknown have reached, arrivals, counted and tokens. New metrics: repeated sends by the reason before them, retries refused, tokens left. backend_requests_total counts what was sent, not what waited for a slot. No decision changes.

--- a/comfreywharf/daemon/operating/decisions.py
+++ b/comfreywharf/daemon/operating/decisions.py
@@ -5,7 +5,7 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.events.decisions import DecisionLog, is_sampled
 from comfreywharf.load.estimates import work_kind
-from comfreywharf.routing import Outcome
+from comfreywharf.routing import Outcome, may_have_reached_backend
 
 __all__ = ["NEVER_AGE_S", "Decisions", "StdoutLineWriter", "discard_line"]
 
@@ -60,6 +60,7 @@
             "service": request.service_name,
             "status": reply.status,
             "asked": call.target,
+            "arrivals": call.arrivals,
             "took_ms": round((now_s - call.began_s) * 1000),
         }
         if not reply.reason:
@@ -80,12 +81,19 @@
         facts |= self._routes_view(now_s)
         self._log.add(now_s, request_id, "turned_away", **facts)
 
-    def next_step(self, call, decision, reply, target, ownership):
-        """Log the next step of a request after a refusal: its target, or none."""
+    def next_step(self, call, decision, reply, target, ownership, retries):
+        """Log the next step of a request after a refusal: its target, or none.
+
+        ``retries`` tells whether the step counts as a retry, and how many are left.
+        """
         if not self.enabled:
             return
         now_s = boottime_s()
         facts = {"after": reply.reason, "asked": call.target, "next": target}
+        facts["reached"] = may_have_reached_backend(reply)
+        facts["arrivals"] = call.arrivals
+        facts["counted"] = retries["counted"]
+        facts["tokens"] = round(retries["tokens"], 2)
         if ownership is not None:
             facts["owner"] = ownership.owner
             facts["standby"] = ownership.standby
--- a/comfreywharf/daemon/requests/caller_watch.py
+++ b/comfreywharf/daemon/requests/caller_watch.py
@@ -28,7 +28,8 @@
 
     ``target`` is the node that currently has the request. ``target_deadline_s`` is the
     time by which an answer meets the latency target, ``None`` if there is no target.
-    ``gone`` is true once the caller has disconnected.
+    ``arrivals`` is how often the request may have reached a backend server. ``gone`` is
+    true once the caller has disconnected.
     """
 
     request: ForwardRequest
@@ -39,6 +40,7 @@
     deadline_s: float
     target_deadline_s: float | None = None
     target: str = ""
+    arrivals: int = 0
     gone: bool = False
 
 
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -23,6 +23,7 @@
     RouteProgress,
     after_hold,
     decide_route,
+    may_have_reached_backend,
 )
 from comfreywharf.transport import CallError
 
@@ -132,7 +133,7 @@
         tried = {progress.target}
         while reply.reason:
             step = self._decide(call, progress, reply, tried)
-            self._report_step(step, call, reply)
+            self._report_step(step, call, reply, budget)
             if isinstance(step, GiveUp):
                 break
             progress = step.progress
@@ -141,11 +142,14 @@
                     break
                 progress = after_hold(progress, self._ownership(call.request))
             elif step.retry and not budget.take():
+                self._node.metrics.retry_refused(call.service.name)
                 break
             if call.gone:
                 return refusal(Reason.CALLER_GONE_BEFORE_START), None
             call.request.retries_left = progress.retries_left
             tried.add(progress.target)
+            if call.arrivals:
+                self._node.metrics.request_sent_again(call.service.name, reply.reason)
             reply, body_stream = self._send_measured(
                 progress.target, call, progress.passes
             )
@@ -153,11 +157,12 @@
             reply.retry_after_ms = reply.retry_after_ms or self._limits.retry_after_ms
         return reply, body_stream
 
-    def _report_step(self, step, call, reply):
+    def _report_step(self, step, call, reply, budget):
         kind = {GiveUp: "given_up", Hold: "held"}.get(type(step), "sent_again")
         target = "" if isinstance(step, GiveUp) else step.progress.target
         ownership = self._ownership(call.request) if call.request.key else None
-        self._node.decisions.next_step(call, kind, reply, target, ownership)
+        retries = {"counted": getattr(step, "retry", False), "tokens": budget.tokens}
+        self._node.decisions.next_step(call, kind, reply, target, ownership, retries)
 
     def _decide(self, call, progress, reply, tried):
         ownership, other_member = None, ""
@@ -209,7 +214,18 @@
             changed, self._fold_changed = self._fold_changed, Event()
             changed.set()
 
+    @property
+    def retry_tokens(self):
+        """Return how many retries of each service are allowed now."""
+        return {name: budget.tokens for name, budget in self._budgets.items()}
+
     def _send_measured(self, target, call, passes):
+        reply, body_stream = self._send_to_member(target, call, passes)
+        if not reply.reason or may_have_reached_backend(reply):
+            call.arrivals += 1
+        return reply, body_stream
+
+    def _send_to_member(self, target, call, passes):
         if call.request.key:
             return self._send(target, call)
         remaining_ms = int((call.deadline_s - boottime_s()) * 1000)
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -196,7 +196,6 @@
             else:
                 reply = refusal(Reason.DEADLINE_BEFORE_START)
             return StreamedReply(reply)
-        node.metrics.backend_request_sent(request.service_name)
         running = self._running.enter(request, right, deadline_s)
         refused = self._admit(request, body, running)
         if refused is not None:
@@ -257,7 +256,7 @@
             return StreamedReply(refusal(Reason.BAD_REQUEST))
         self._sent_s = boottime_s()
         try:
-            response = self._backend.exchange(request, lines, body, self._running)
+            response = self._exchange(request, lines, body)
             spent_s = boottime_s() - self._sent_s
             self._node.metrics.stage_ended(request.service_name, "server", spent_s)
             return self._reply(response)
@@ -268,6 +267,13 @@
             reply = refusal(error.reason, outcome=Outcome.UNKNOWN)
             return StreamedReply(reply)
 
+    def _exchange(self, request, lines, body):
+        try:
+            return self._backend.exchange(request, lines, body, self._running)
+        finally:
+            if self._running.sent:
+                self._node.metrics.backend_request_sent(request.service_name)
+
     def give_up(self):
         """Stop waiting for the request, which may still take effect and ends later."""
         if not self._ended:
@@ -292,6 +298,7 @@
             self._request, self._running, instance, reason, detail
         )
         reply = refusal(reason)
+        reply.backend_reached = self._running.sent
         if reply.outcome == Outcome.NOT_RUN:
             reply.retry_after_ms = self._node.ports.refused_retry_after_ms
             self._complete()
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -59,6 +59,11 @@
         """Return how many callers wait for an answer or are being sent one."""
         return len(self.watch) + self._streaming
 
+    @property
+    def retry_tokens(self):
+        """Return how many retries of each service are allowed now."""
+        return self._dispatcher.retry_tokens
+
     def make_server(self, host, port):
         """Return the server, not yet started."""
         return NodelayServer(host, port, self, backlog=1024)
--- a/comfreywharf/daemon/requests/replies.py
+++ b/comfreywharf/daemon/requests/replies.py
@@ -26,6 +26,7 @@
         owner_hint=owner_hint,
         event_clock=0,
         retries_left=0,
+        backend_reached=False,
     )
 
 
--- a/comfreywharf/daemon/requests/running.py
+++ b/comfreywharf/daemon/requests/running.py
@@ -25,8 +25,9 @@
 class RunningRequest:
     """One request at the backend server.
 
-    ``abort`` is a function that interrupts the current wait of the request, or
-    ``None``; it is replaced as the request proceeds.
+    ``sent`` is whether any of it may have been sent there. ``abort`` is a function that
+    interrupts the current wait of the request, or ``None``; it is replaced as the
+    request proceeds.
     """
 
     def __init__(self, key, attempt_id, right, deadline_s):
@@ -35,11 +36,13 @@
         self.right = right
         self.deadline_s = deadline_s
         self.slot = None
+        self.sent = False
         self.cancelled = False
         self.abort = None
 
     def record_sent(self, now_s):
         """Record that the request is sent to the backend server now."""
+        self.sent = True
         if self.slot is not None:
             self.slot.record_sent(now_s)
 
--- a/comfreywharf/fleet/tests/builders.py
+++ b/comfreywharf/fleet/tests/builders.py
@@ -42,6 +42,7 @@
         "routes_age_s": 0.2,
         "evacuated_domains": 0,
         "evacuation_slices": 0,
+        "retry_tokens": {"booking": 1.5},
         **gauges,
     }
     return render(metrics, Gauges(**values))[0].decode()
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -42,6 +42,27 @@
             "outcomes",
             "Requests that entered here, by outcome and the reason of a refusal",
         ),
+        _family(
+            "repeated_sends_total",
+            _COUNTER,
+            "service reason",
+            "retries",
+            "Sends from here of requests that may have reached a backend server before",
+        ),
+        _family(
+            "refused_retries_total",
+            _COUNTER,
+            "service",
+            "retries",
+            "Requests that weren't sent again since the service had no retries left",
+        ),
+        _family(
+            "retry_tokens",
+            _GAUGE,
+            "service",
+            "retries",
+            "Retries of a service that are allowed from here now",
+        ),
         _family(
             "request_duration_seconds",
             _HISTOGRAM,
@@ -85,7 +106,7 @@
             _COUNTER,
             "service",
             "imbalance",
-            "Requests that this node's own backend server was given",
+            "Requests that were sent to this node's own backend server",
         ),
         _family(
             "backend_running_requests",
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -52,6 +52,7 @@
     routes_age_s: float
     evacuated_domains: int
     evacuation_slices: int
+    retry_tokens: dict[str, float]
     backend_limit_per_s: float | None = None
 
 
@@ -73,6 +74,8 @@
         self.damaged_evacuations = 0
         self.unknown_names = defaultdict(int)
         self.damaged_limits = 0
+        self.repeated_sends = defaultdict(int)
+        self.refused_retries = defaultdict(int)
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -88,9 +91,20 @@
         self.admission_refusals[service, reason] += 1
 
     def backend_request_sent(self, service):
-        """Count a request that is sent to this node's backend server."""
+        """Count a request that was sent to this node's backend server."""
         self.backend_requests[service] += 1
 
+    def request_sent_again(self, service, reason):
+        """Count a send of a request that may have reached a backend server before.
+
+        ``reason`` is that of its last refusal.
+        """
+        self.repeated_sends[service, reason] += 1
+
+    def retry_refused(self, service):
+        """Count a request that isn't sent again, for want of a retry of its service."""
+        self.refused_retries[service] += 1
+
     def slices_changed(self, service, gained, count):
         """Count slices that this node gained or lost."""
         self.slices_moved[service, "gained" if gained else "lost"] += count
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -62,6 +62,9 @@
     """Return the values of each family, keyed by their labels' values."""
     return {
         "requests_total": metrics.requests,
+        "repeated_sends_total": metrics.repeated_sends,
+        "refused_retries_total": _with_one_label(metrics.refused_retries),
+        "retry_tokens": _with_one_label(gauges.retry_tokens),
         "request_duration_seconds": _with_one_label(metrics.durations),
         "stage_duration_seconds": metrics.stages,
         "ingress_unavailable_seconds_total": _with_one_label(metrics.outages.seconds),
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -27,6 +27,7 @@
     routes_age_s=0.2,
     evacuated_domains=1,
     evacuation_slices=6,
+    retry_tokens={"booking": 1.5},
 )
 
 SAMPLE = re.compile(r'[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? [0-9.e+-]+')
@@ -42,6 +43,8 @@
     metrics.slices_unavailable(service, 5, 0.25)
     metrics.slices_changed(service, True, 5)
     metrics.backend_request_sent(service)
+    metrics.request_sent_again(service, "not-yet-owner")
+    metrics.retry_refused(service)
     metrics.loop_woke(0.003)
     metrics.event_reported("lease_lapsed", "warning")
     metrics.unknown_name_read("heartbeat")
--- a/comfreywharf/routing/__init__.py
+++ b/comfreywharf/routing/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about requests: outcomes, routes, retries and remembered answers."""
 
+from comfreywharf.routing.arrivals import may_have_reached_backend
 from comfreywharf.routing.budget import RetryBudget
 from comfreywharf.routing.memory import (
     Answer,
@@ -45,6 +46,7 @@
     "Send",
     "after_hold",
     "decide_route",
+    "may_have_reached_backend",
     "resend_fingerprint",
     "verdict_of",
 ]
--- a/comfreywharf/routing/budget.py
+++ b/comfreywharf/routing/budget.py
@@ -30,6 +30,11 @@
         self._tokens = 0.0
         self._max_tokens = max_tokens
 
+    @property
+    def tokens(self):
+        """Return how many retries are allowed now."""
+        return self._tokens
+
     def earn(self, fraction):
         """Count a first send; ``fraction`` is the service's `retry_fraction`."""
         self._tokens = min(self._max_tokens, self._tokens + fraction)
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from comfreywharf.routing.arrivals import may_have_reached_backend
 from comfreywharf.routing.outcomes import Outcome, Reason
 
 __all__ = [
@@ -134,8 +135,9 @@
 class RouteProgress:
     """How far the routing of a request has used up its `RouteLimits`.
 
-    ``tried`` are the nodes tried since the last hold. The limits apply to the
-    fields of the same names.
+    ``tried`` are the nodes tried since the last hold. ``arrivals`` is how often the
+    request may have reached a backend server. The limits apply to the fields of the
+    same names.
     """
 
     target: str
@@ -146,6 +148,7 @@
     resends: int = 0
     unreached_members: int = 0
     passes: int = 0
+    arrivals: int = 0
 
 
 @attrs.frozen
@@ -197,6 +200,8 @@
     """
     if reply.outcome != Outcome.NOT_RUN or not replayable or now_s >= deadline_s:
         return GiveUp()
+    if may_have_reached_backend(reply):
+        progress = attrs.evolve(progress, arrivals=progress.arrivals + 1)
     reason = Reason(reply.reason)
     if ownership is not None:
         if reason is Reason.REFUSED_BY_BACKEND and progress.resends < limits.resends:
--- a/comfreywharf/routing/tests/test_route.py
+++ b/comfreywharf/routing/tests/test_route.py
@@ -35,6 +35,7 @@
     reason: str
     outcome: Outcome
     owner_hint: str = ""
+    backend_reached: bool | None = None
 
 
 def refused(reason, owner_hint=""):
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -670,6 +670,7 @@
      - cold_ms
      - limit_per_s
      - leaving
+     - backend_reached
 
     """
 
@@ -687,10 +688,11 @@
         'cold_ms',
         'limit_per_s',
         'leaving',
+        'backend_reached',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -704,6 +706,7 @@
         self.cold_ms = cold_ms
         self.limit_per_s = limit_per_s
         self.leaving = leaving
+        self.backend_reached = backend_reached
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -786,6 +789,11 @@
                     self.leaving.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.backend_reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -851,6 +859,10 @@
             oprot.writeFieldBegin('leaving', TType.STRUCT, 13)
             self.leaving.write(oprot)
             oprot.writeFieldEnd()
+        if self.backend_reached is not None:
+            oprot.writeFieldBegin('backend_reached', TType.BOOL, 14)
+            oprot.writeBool(self.backend_reached)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3268,6 +3280,7 @@
     (11, TType.I32, 'cold_ms', None, None, ),  # 11
     (12, TType.DOUBLE, 'limit_per_s', None, None, ),  # 12
     (13, TType.STRUCT, 'leaving', [LeavingServer, None], None, ),  # 13
+    (14, TType.BOOL, 'backend_reached', None, None, ),  # 14
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -71,7 +71,8 @@
   10: required i32 retries_left,
   11: optional i32 cold_ms,            // how long the sender's server stays cold
   12: optional double limit_per_s,     // what the sender's server takes; unset: no limit
-  13: optional LeavingServer leaving   // the sender's server, if it leaves
+  13: optional LeavingServer leaving,  // the sender's server, if it leaves
+  14: optional bool backend_reached    // whether a refused request was sent to the server
 }
 
 struct BodyChunk {
