--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -66,6 +66,7 @@
 terms.bounds.maxHold=10000ms
 terms.bounds.configApply=2000ms
 terms.bounds.retryBudgetRatio=0.2
+terms.bounds.budgetExtra=58
 new.field=ignored
 """
 
--- /dev/null
+++ b/comfreywharf/platform/tests/test_arrivals.py
@@ -0,0 +1,65 @@
+"""Arrivals at a backend server beyond the first of each request, of all nodes."""
+
+from collections import Counter
+
+import gevent
+
+from comfreywharf.clock import boottime_s
+from comfreywharf.platform.tests.fleets import EXTRA, FRACTION, Fleet
+from comfreywharf.routing import Reason
+
+KEY = 7
+CALLERS_PER_NODE = 6
+CALLER_PAUSE_S = 0.05
+MISDIRECTED_S = 2.0
+FLEET_SIZES = (10, 40)
+
+
+def arrivals_after_calm(path, size, refusal):
+    """Return the `Arrivals` at a server that refuses all, after it has served all."""
+    fleet = Fleet(path / f"{size} nodes", size)
+    fleet.send(per_node=100)
+    fleet.begin_window()
+    fleet.server = refusal
+    fleet.send(per_node=5)
+    return fleet.arrivals
+
+
+def test_requests_for_keys_that_a_server_doesnt_hold_stay_within_the_bound(tmp_path):
+    """Guards against requests that go on to a server which doesn't hold their key."""
+    for size in FLEET_SIZES:
+        arrivals = arrivals_after_calm(tmp_path, size, Reason.NOT_YET_OWNER)
+        assert arrivals.repeated <= arrivals.allowed
+
+
+def test_a_burst_of_retries_is_bounded_for_any_number_of_nodes(tmp_path):
+    """Guards against a burst that is each node's own, saved up in a calm time."""
+    for size in FLEET_SIZES:
+        arrivals = arrivals_after_calm(tmp_path, size, Reason.REFUSED_BY_BACKEND)
+        assert arrivals.repeated <= arrivals.allowed
+
+
+def test_a_server_that_holds_no_key_for_a_while_gets_few_requests_twice(deployment):
+    """Guards against the same through real nodes: 2 s in which a server misdirects."""
+    server = deployment.servers[deployment.holder(KEY)]
+    answers = []
+    ends_s = boottime_s() + MISDIRECTED_S
+
+    def call(name):
+        while boottime_s() < ends_s:
+            answers.append(deployment.send_request(name))
+            gevent.sleep(CALLER_PAUSE_S)
+
+    before = Counter(server.arrivals)
+    server.misdirects = True
+    tasks = [
+        gevent.spawn(call, name)
+        for name in deployment.nodes
+        for _ in range(CALLERS_PER_NODE)
+    ]
+    gevent.joinall(tasks, raise_error=True)
+    server.misdirects = False
+    repeated = sum(count - 1 for count in (server.arrivals - before).values())
+    assert repeated <= FRACTION * len(answers) + EXTRA
+    assert {answer.status for answer in answers} == {503}
+    assert deployment.send_request("n0").status == 200
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -1,6 +1,7 @@
 """A stand-in for a backend server of the platform: grants, holds and a ledger."""
 
 import contextlib
+from collections import Counter
 
 import attrs
 import gevent
@@ -53,9 +54,10 @@
     finishes. The next ``lose_grants`` grant requests take effect ``grant_delay_s``
     seconds late and are never answered. ``accepted_grants`` lists the grants that all
     its incarnations accepted, and ``misdirected`` counts the requests for keys that it
-    didn't hold. Work that lasts longer than the hold that it began under ends with
-    status 500, counted in ``outlasted_holds``. Answers carry ``answer_id``, if it is
-    set, as the id of the attempt.
+    didn't hold. While ``misdirects`` is set, it refuses all requests like these.
+    ``arrivals`` counts all requests by their ids. Work that lasts longer than the hold
+    that it began under ends with status 500, counted in ``outlasted_holds``. Answers
+    carry ``answer_id``, if it is set, as the id of the attempt.
     While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
     report that it stays cold for ``cold_s``, and have the ``extra_fields``. All answers
     have the ``extra_headers``, name the ``limit``, a text, if there is one, and say
@@ -97,6 +99,8 @@
         self.held = []
         self.refused_grants = 0
         self.misdirected = 0
+        self.misdirects = False
+        self.arrivals = Counter()
         self.accepted_grants = []
         self.state = "ready"
         self.heartbeats_off = False
@@ -355,10 +359,11 @@
 
     def _run(self, environ, body, start_response):
         headers = [("X-Instance-Id", self.instance)]
+        self.arrivals[environ.get("HTTP_X_ATTEMPT_ID")] += 1
         if environ.get("HTTP_X_TARGET_INSTANCE", self.instance) != self.instance:
             return _respond(start_response, 421, headers)
         text = environ.get("HTTP_X_SHARD_KEY")
-        if text is not None and not self.holds(int(text)):
+        if text is not None and (self.misdirects or not self.holds(int(text))):
             self.misdirected += 1
             headers.append(("X-Not-Executed", "1"))
             return _respond(start_response, 421, headers)
