Count each arrival at a server beyond a request's first as a retry

Servers: up to seven arrivals of each request whose key its server doesn't hold (421), at the server that all nodes take for the owner's; none of them was counted.

Cause: the step after a refusal was a retry or not by its reason, and a server's 421 has the reason of a node that isn't the owner. What counts is whether the server got the request. So the progress of a request says how often it may have reached a server. From the first arrival on, each send needs a token, whoever refused since; one that reaches no server gives it back; without one the request ends at once, as not run.

Ruled out: that such sends are needed to find the next owner. They still go on, within the budget, and a caller who is refused comes back as a new request.

--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -136,32 +136,49 @@
             self._report_step(step, call, reply, budget)
             if isinstance(step, GiveUp):
                 break
+            if step.retry and not budget.allows_retry:
+                self._node.metrics.retry_refused(call.service.name)
+                break
             progress = step.progress
             if isinstance(step, Hold):
                 if not self._hold(step, call):
                     break
                 progress = after_hold(progress, self._ownership(call.request))
-            elif step.retry and not budget.take():
-                self._node.metrics.retry_refused(call.service.name)
-                break
             if call.gone:
                 return refusal(Reason.CALLER_GONE_BEFORE_START), None
             call.request.retries_left = progress.retries_left
             tried.add(progress.target)
-            if call.arrivals:
-                self._node.metrics.request_sent_again(call.service.name, reply.reason)
-            reply, body_stream = self._send_measured(
-                progress.target, call, progress.passes
-            )
+            sent = self._send_counted(progress, call, reply.reason, budget)
+            if sent is None:
+                break
+            reply, body_stream = sent
         if reply.outcome == Outcome.NOT_RUN and reply.status == 503:
             reply.retry_after_ms = reply.retry_after_ms or self._limits.retry_after_ms
         return reply, body_stream
 
+    def _send_counted(self, progress, call, reason, budget):
+        """Send a request again; return ``None`` if that is a retry too many.
+
+        ``reason`` is that of its last refusal. A retry that reaches no backend server
+        isn't counted.
+        """
+        if not progress.is_retry:
+            return self._send_measured(progress.target, call, progress.passes)
+        metrics = self._node.metrics
+        if not budget.take():
+            metrics.retry_refused(call.service.name)
+            return None
+        metrics.request_sent_again(call.service.name, reason)
+        reply, body_stream = self._send_measured(progress.target, call, progress.passes)
+        if not may_have_reached_backend(reply):
+            budget.give_back()
+        return reply, body_stream
+
     def _report_step(self, step, call, reply, budget):
         kind = {GiveUp: "given_up", Hold: "held"}.get(type(step), "sent_again")
         target = "" if isinstance(step, GiveUp) else step.progress.target
         ownership = self._ownership(call.request) if call.request.key else None
-        retries = {"counted": getattr(step, "retry", False), "tokens": budget.tokens}
+        retries = {"counted": step.retry, "tokens": budget.tokens}
         self._node.decisions.next_step(call, kind, reply, target, ownership, retries)
 
     def _decide(self, call, progress, reply, tried):
@@ -221,7 +238,7 @@
 
     def _send_measured(self, target, call, passes):
         reply, body_stream = self._send_to_member(target, call, passes)
-        if not reply.reason or may_have_reached_backend(reply):
+        if may_have_reached_backend(reply):
             call.arrivals += 1
         return reply, body_stream
 
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -64,7 +64,7 @@
 
 RETRY_SHARE = 0.7
 """The fraction of the platform's bound on retries that a node uses. The platform also
-counts requests that a server answers with 421, which aren't counted here."""
+counts calls that a repeated run makes to other services, which aren't counted here."""
 
 RESENDS = 2
 """Servers refuse up to 55 in 100 requests for seconds, at any load. With two more
--- a/comfreywharf/platform/tests/fleets.py
+++ b/comfreywharf/platform/tests/fleets.py
@@ -61,12 +61,14 @@
     """Nodes that send requests for one key to the same owner.
 
     The owner's server answers as ``server`` says: a `Reason` with which it refuses all
-    requests, or ``None`` if it runs them.
+    requests, or ``None`` if it runs them. Of these it gets only the next
+    ``misdirects``, unless that is ``None``; the node beside it refuses the others.
     """
 
     def __init__(self, path, size):
         path.mkdir(exist_ok=True)
         self.server = None
+        self.misdirects = None
         self.arrivals = Arrivals()
         self._requests = 0
         names = [f"n{number}" for number in range(size)]
@@ -86,8 +88,10 @@
 
     def reply(self, target, request):
         """Return the reply of a node, and count the request if the server got it."""
-        if target != OWNER:
+        if target != OWNER or self.misdirects == 0:
             return refusal(Reason.WRONG_OWNER, owner_hint=OWNER)
+        if self.misdirects is not None:
+            self.misdirects -= 1
         by_id = self.arrivals.by_id
         by_id[request.request_id] = by_id.get(request.request_id, 0) + 1
         if self.server is None:
--- a/comfreywharf/platform/tests/test_arrivals.py
+++ b/comfreywharf/platform/tests/test_arrivals.py
@@ -32,6 +32,21 @@
         assert arrivals.repeated <= arrivals.allowed
 
 
+def test_a_retry_that_reaches_no_server_is_given_back(tmp_path):
+    """Guards against nodes without a right that use up a service's retries."""
+    fleet = Fleet(tmp_path, 1)
+    fleet.send(per_node=100)
+    fleet.server = Reason.NOT_YET_OWNER
+    fleet.misdirects = 1
+    (reply,) = fleet.send(per_node=1)
+    assert reply.reason == Reason.WRONG_OWNER.value
+    fleet.begin_window()
+    fleet.server = Reason.REFUSED_BY_BACKEND
+    fleet.misdirects = None
+    fleet.send(per_node=5)
+    assert fleet.arrivals.repeated == 5
+
+
 def test_a_burst_of_retries_is_bounded_for_any_number_of_nodes(tmp_path):
     """Guards against a burst that is each node's own, saved up in a calm time."""
     for size in FLEET_SIZES:
--- a/comfreywharf/routing/budget.py
+++ b/comfreywharf/routing/budget.py
@@ -1,5 +1,7 @@
 """A token bucket that bounds the retries of a service.
 
+A retry is an arrival of a request at a backend server beyond its first one.
+
 Retries multiply an overload: with two retries per request, a service that is
 only slightly too slow receives three times its load. Limiting retries to a
 fraction of the first sends bounds the total traffic, whatever each single
@@ -13,7 +15,7 @@
 
 
 class RetryBudget:
-    """Count first sends and retries of one service.
+    """Count requests and retries of one service.
 
     ``max_tokens`` bounds the burst of retries after a period without any.
 
@@ -36,13 +38,22 @@
         return self._tokens
 
     def earn(self, fraction):
-        """Count a first send; ``fraction`` is the service's `retry_fraction`."""
+        """Count a request; ``fraction`` is the service's `retry_fraction`."""
         self._tokens = min(self._max_tokens, self._tokens + fraction)
 
+    @property
+    def allows_retry(self):
+        """Return whether a retry is allowed."""
+        # Ten additions of 0.1 add up to slightly less than 1 because of rounding.
+        return self._tokens >= 1 - 1e-9
+
     def take(self):
         """Return whether a retry is allowed, and count it if so."""
-        # Ten additions of 0.1 add up to slightly less than 1 because of rounding.
-        if self._tokens < 1 - 1e-9:
+        if not self.allows_retry:
             return False
         self._tokens = max(0.0, self._tokens - 1)
         return True
+
+    def give_back(self):
+        """Take back the count of a retry that reached no backend server."""
+        self._tokens = min(self._max_tokens, self._tokens + 1)
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -61,9 +61,9 @@
     }
 )
 """Refusals of `_OTHER_MEMBER_MAY_SERVE` made before a backend server received
-the request, so that the next send doesn't count as a retry. If it did, a third of the
-requests would be refused while two of three machines are lost, namely those that try
-both lost members first, although the third server has capacity."""
+the request, so that the next send uses up no retry. If it did, a third of the requests
+would be refused while two of three machines are lost, namely those that try both lost
+members first, although the third server has capacity."""
 
 _FULL = frozenset({Reason.OVERLOADED, Reason.BACKEND_LIMITED})
 """Refusals by a member that would serve the request if it waited there."""
@@ -81,7 +81,7 @@
     retries that one node may send after a period without any. A request that its
     owner's server refused is sent there up to ``resends`` more times, within the
     retry budget. A request goes on from up to ``unreached_members`` unavailable
-    members before such a send counts as a retry.
+    members before such a send uses up one of its retries.
 
     A request for a service that isn't divided by key is passed on up to ``passes``
     times by members at which it would wait for a slot for more than a fraction
@@ -150,13 +150,22 @@
     passes: int = 0
     arrivals: int = 0
 
+    @property
+    def is_retry(self):
+        """Return whether another arrival would be one beyond the first."""
+        return self.arrivals > 0
+
 
 @attrs.frozen
 class Send:
-    """Send the request to ``progress.target``; ``retry`` if that counts as a retry."""
+    """Send the request to ``progress.target``."""
 
     progress: RouteProgress
-    retry: bool = False
+
+    @property
+    def retry(self):
+        """Return whether the request would reach a server another time."""
+        return self.progress.is_retry
 
 
 @attrs.frozen
@@ -166,11 +175,18 @@
     progress: RouteProgress
     until_s: float
 
+    @property
+    def retry(self):
+        """Return whether the request would reach a server another time."""
+        return self.progress.is_retry
+
 
 @attrs.frozen
 class GiveUp:
     """Return the refusal to the caller immediately."""
 
+    retry = False
+
 
 def after_hold(progress, ownership):
     """Return the progress to continue with after a hold."""
@@ -196,7 +212,8 @@
 
     Only a refusal that proves that nothing ran leads to another send. After an
     unknown outcome the request may have taken effect, and a second send could
-    apply it twice.
+    apply it twice. A send or hold of a request that may have reached a backend server
+    is a retry, whatever refused it since.
     """
     if reply.outcome != Outcome.NOT_RUN or not replayable or now_s >= deadline_s:
         return GiveUp()
@@ -208,9 +225,7 @@
             # No other server may serve the key. This server didn't receive
             # more requests than it has slots, so its refusal doesn't mean that
             # the next try will be refused as well.
-            return Send(
-                attrs.evolve(progress, resends=progress.resends + 1), retry=True
-            )
+            return Send(attrs.evolve(progress, resends=progress.resends + 1))
         if reason not in _NO_SERVING_OWNER:
             return GiveUp()
         progress = attrs.evolve(progress, tried=progress.tried | {progress.target})
@@ -246,9 +261,7 @@
         )
     if progress.retries_left <= 0:
         return GiveUp()
-    return Send(
-        attrs.evolve(progress, retries_left=progress.retries_left - 1), retry=True
-    )
+    return Send(attrs.evolve(progress, retries_left=progress.retries_left - 1))
 
 
 def _next_candidate(progress, hint, ownership, limits):
--- a/comfreywharf/routing/tests/test_route.py
+++ b/comfreywharf/routing/tests/test_route.py
@@ -179,6 +179,37 @@
     )
 
 
+def test_each_send_after_a_server_refused_is_a_retry():
+    """Guards against sends that follow a server's refusal of a key and aren't counted.
+
+    Nodes that refuse the request meanwhile, and holds, change nothing about that.
+    """
+    ownership = Ownership(owner="a", standby="b")
+    progress = RouteProgress(target="a", retries_left=0)
+    by_server = attrs.evolve(refused(Reason.NOT_YET_OWNER), backend_reached=True)
+    step = decide(progress, by_server, ownership)
+    assert isinstance(step, Send) and step.retry
+    by_node = attrs.evolve(refused(Reason.WRONG_OWNER), backend_reached=False)
+    step = decide(step.progress, by_node, ownership)
+    assert isinstance(step, Hold) and step.retry
+    progress = after_hold(step.progress, ownership)
+    assert progress.is_retry and progress.arrivals == 1
+
+
+@settings(derandomize=True, deadline=None)
+@given(nodes_reached=st.lists(st.booleans(), max_size=6))
+def test_sends_are_retries_from_the_first_arrival_on(nodes_reached):
+    """Refusals made before a server was reached cost no retry."""
+    progress = RouteProgress(target="a", retries_left=0)
+    arrivals = 0
+    for reached in nodes_reached:
+        reply = attrs.evolve(refused(Reason.NOT_YET_OWNER), backend_reached=reached)
+        arrivals += reached
+        step = decide(progress, reply, Ownership(owner="a", standby="b"))
+        assert step.retry == (arrivals > 0)
+        progress = step.progress
+
+
 def decide_at_owner(progress, reply, limits):
     return decide_route(
         progress,
