Divide the burst of retries among the nodes that there are

Servers: with 40 nodes, 200 arrivals beyond the first of 200 requests came at once after a calm time, where 98 are allowed. By arithmetic 195 nodes could send 975 where a deployment allows 430.

Cause: each node saved up five retries of each service, whatever the number of nodes, and the platform's own figure for the fleet (budgetExtra) wasn't read.

Change: a node saves up its part of the fleet's burst, by the members that its fold has; at least one, without which it could never retry. A new process begins without any, so that restarts don't add to the bound.

--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -22,6 +22,7 @@
     RouteLimits,
     RouteProgress,
     after_hold,
+    burst_of_node,
     decide_route,
     may_have_reached_backend,
 )
@@ -107,10 +108,10 @@
         """Return ``(reply, body_stream)``, the latter ``None`` for a whole body."""
         budget = self._budgets.get(call.service.name)
         if budget is None:
-            budget = self._budgets[call.service.name] = RetryBudget(
-                self._limits.retry_burst
-            )
-        budget.earn(call.service.retry_fraction)
+            budget = self._budgets[call.service.name] = RetryBudget()
+        nodes = len(self._node.follower.state.members)
+        burst = burst_of_node(self._limits.fleet_retry_burst, nodes)
+        budget.earn(call.service.retry_fraction, burst)
         request = call.request
         refused = self._node.load.refuse_condemned(request, call.body)
         if refused is not None:
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -58,10 +58,6 @@
 STALE_AFTER_S = 10.0
 """The store is unavailable for up to 9 s; witnesses keep granting for that long."""
 
-RETRY_BURST = 5.0
-"""The platform bounds the retries of all nodes together: a fifth of the requests within
-10 s, plus about 60. Ten nodes use a part of that fifth, and 50 retries in a burst."""
-
 RETRY_SHARE = 0.7
 """The fraction of the platform's bound on retries that a node uses. The platform also
 counts calls that a repeated run makes to other services, which aren't counted here."""
@@ -94,12 +90,6 @@
         cheap_moves=True,
         scale_by_speed=True,
     )
-    route_limits = RouteLimits(
-        total_hold_s=0.3,
-        retry_after_ms=250,
-        retry_burst=RETRY_BURST,
-        resends=RESENDS,
-    )
     retry_after = RetryAfter(min_s=0.3, max_s=0.6)
     refused_retry_after_ms = REFUSED_RETRY_AFTER_MS
     read_options = ReadOptions(wait_s=1.0, pause_s=0.1, relayed=True)
@@ -110,6 +100,12 @@
         self.store = Store(settings.store)
         self.check_port_after_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
         self.retry_fraction = RETRY_SHARE * settings.retry_fraction
+        self.route_limits = RouteLimits(
+            total_hold_s=0.3,
+            retry_after_ms=250,
+            fleet_retry_burst=RETRY_SHARE * settings.extra_retries,
+            resends=RESENDS,
+        )
         self.routes_apply_s = settings.routes_apply_s
         self.evacuate_s = settings.evacuate_s
         self.caller_server = None
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -41,8 +41,10 @@
     in seconds. ``zones`` are the names of all zones; the servers of one may get nothing
     new ``evacuate_s`` after an order to evacuate it. A cold backend server may get
     ``cold_overage`` times the requests per second that its service states, and
-    ``cold_extra_requests`` in any second. ``grant_interval_s`` is the time between two
-    grants if these are answers to heartbeats, and zero if they are sent at any time.
+    ``cold_extra_requests`` in any second. All nodes together may send
+    ``retry_fraction`` times the requests of a service as retries, and
+    ``extra_retries`` beside them. ``grant_interval_s`` is the time between two grants
+    if these are answers to heartbeats, and zero if they are sent at any time.
     """
 
     node: NodeSettings
@@ -57,6 +59,7 @@
     grace_s: float
     longest_hold_s: float
     retry_fraction: float
+    extra_retries: float
     routes_apply_s: float
     evacuate_s: float
     zones: tuple[str, ...]
@@ -186,6 +189,7 @@
         "longest_hold_s": read(bounds_prefix + "maxHold", duration_s, 10.0),
         "routes_apply_s": read(bounds_prefix + "configApply", duration_s, 2.0),
         "retry_fraction": read(bounds_prefix + "retryBudgetRatio", _positive, 0.2),
+        "extra_retries": read(bounds_prefix + "budgetExtra", _not_negative, 0.0),
         "evacuate_s": optional(bounds_prefix + "evacuate", duration_s, 5.0),
         "cold_overage": optional(bounds_prefix + "coldOverage", _positive, 1.0),
         "cold_extra_requests": optional(bounds_prefix + "coldExtra", _not_negative, 0),
--- a/comfreywharf/routing/__init__.py
+++ b/comfreywharf/routing/__init__.py
@@ -1,7 +1,7 @@
 """Decisions about requests: outcomes, routes, retries and remembered answers."""
 
 from comfreywharf.routing.arrivals import may_have_reached_backend
-from comfreywharf.routing.budget import RetryBudget
+from comfreywharf.routing.budget import RetryBudget, burst_of_node
 from comfreywharf.routing.memory import (
     Answer,
     AnswerMemory,
@@ -45,6 +45,7 @@
     "RouteProgress",
     "Send",
     "after_hold",
+    "burst_of_node",
     "decide_route",
     "may_have_reached_backend",
     "resend_fingerprint",
--- a/comfreywharf/routing/budget.py
+++ b/comfreywharf/routing/budget.py
@@ -9,37 +9,51 @@
 Reliability Engineering (2016).
 """
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "burst_of_node"]
 
-MAX_TOKENS = 20.0
+MIN_BURST = 1.0
+"""With less than one token, a node could never send a retry."""
+
+
+def burst_of_node(fleet_burst, nodes):
+    """Return how many retries one node may save up for a burst.
+
+    All nodes together save up ``fleet_burst``, or one each if they are more than that.
+
+    >>> burst_of_node(60, 12), burst_of_node(60, 200)
+    (5.0, 1.0)
+    """
+    return max(MIN_BURST, fleet_burst / max(1, nodes))
 
 
 class RetryBudget:
     """Count requests and retries of one service.
 
-    ``max_tokens`` bounds the burst of retries after a period without any.
-
     >>> budget = RetryBudget()
     >>> budget.take()
     False
     >>> for _ in range(10):
-    ...     budget.earn(0.1)
+    ...     budget.earn(0.1, burst=5)
     >>> budget.take(), budget.take()
     (True, False)
     """
 
-    def __init__(self, max_tokens=MAX_TOKENS):
+    def __init__(self):
         self._tokens = 0.0
-        self._max_tokens = max_tokens
+        self._burst = MIN_BURST
 
     @property
     def tokens(self):
         """Return how many retries are allowed now."""
         return self._tokens
 
-    def earn(self, fraction):
-        """Count a request; ``fraction`` is the service's `retry_fraction`."""
-        self._tokens = min(self._max_tokens, self._tokens + fraction)
+    def earn(self, fraction, burst):
+        """Count a request; ``fraction`` is the service's `retry_fraction`.
+
+        ``burst`` bounds the retries that are saved up, see `burst_of_node`.
+        """
+        self._burst = burst
+        self._tokens = min(burst, self._tokens + fraction)
 
     @property
     def allows_retry(self):
@@ -56,4 +70,4 @@
 
     def give_back(self):
         """Take back the count of a retry that reached no backend server."""
-        self._tokens = min(self._max_tokens, self._tokens + 1)
+        self._tokens = min(self._burst, self._tokens + 1)
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -77,11 +77,12 @@
     nodes are tried between two holds. The holds grow from ``first_hold_s`` to
     ``longest_hold_s`` and last no longer than ``total_hold_s`` together; a fold that
     changes the owner ends a hold early. ``retry_after_ms`` is sent to a caller whose
-    key had no owner for all of that time; ``retry_burst`` bounds the burst of
-    retries that one node may send after a period without any. A request that its
-    owner's server refused is sent there up to ``resends`` more times, within the
-    retry budget. A request goes on from up to ``unreached_members`` unavailable
-    members before such a send uses up one of its retries.
+    key had no owner for all of that time. ``fleet_retry_burst`` bounds the burst of
+    retries that all nodes together may send after a period without any.
+
+    A request that its owner's server refused is sent there up to ``resends`` more
+    times, within the retry budget. A request goes on from up to ``unreached_members``
+    unavailable members before such a send uses up one of its retries.
 
     A request for a service that isn't divided by key is passed on up to ``passes``
     times by members at which it would wait for a slot for more than a fraction
@@ -94,7 +95,7 @@
     longest_hold_s: float = 0.1
     total_hold_s: float = 3.0
     retry_after_ms: int = 1000
-    retry_burst: float = 20.0
+    fleet_retry_burst: float = 60.0
     resends: int = 0
     unreached_members: int = 3
     passes: int = 2
