Let calls of servers earn no retries; let the fleet's extra come with time

Servers: what the platform allows counts requests that consumers sent; calls of running work aren't counted.

Cause: dispatch earned for each request. A connection that has carried a request for the service of the server beside the node is a caller's, since a server doesn't call its own service; requests on any other earn nothing.

A service that gets calls alone would then never retry. The fleet's extra comes in halves: one may be saved up, the other is earned as time passes, so that both together stay within it in any window; the state machine has time now.

Measured: test_calls_of_servers_earn_no_retries; tests of platform, routing and daemon pass.

--- a/comfreywharf/daemon/requests/caller_requests.py
+++ b/comfreywharf/daemon/requests/caller_requests.py
@@ -48,10 +48,15 @@
 
 @attrs.frozen
 class CallerRequest:
-    """The message to the owner without its body, and the requested service."""
+    """The message to the owner without its body, and the requested service.
+
+    ``may_be_nested`` is whether it may be a call that the backend server beside this
+    node makes while it runs another request.
+    """
 
     request: ForwardRequest
     service: ServiceConfig
+    may_be_nested: bool = False
 
 
 def parse_request(environ, services) -> Result[CallerRequest, Reason]:
--- a/comfreywharf/daemon/requests/caller_stream.py
+++ b/comfreywharf/daemon/requests/caller_stream.py
@@ -10,6 +10,8 @@
 import gevent
 import httptools
 
+from comfreywharf.load.nested import ConnectionOrigin
+
 __all__ = [
     "BLOCK_BYTES",
     "BadRequest",
@@ -119,10 +121,14 @@
 
 
 class CallerStream:
-    """The byte stream of one caller's connection, split into requests."""
+    """The byte stream of one caller's connection, split into requests.
+
+    ``origin`` is the `ConnectionOrigin` of the requests.
+    """
 
     def __init__(self, sock, limits):
         self.sock = sock
+        self.origin = ConnectionOrigin()
         self._limits = limits
         self._buffer = b""
 
@@ -221,6 +227,7 @@
 class IncomingRequest:
     """One request that was received: its head, and its body as far as it was read.
 
+    ``origin`` is the `ConnectionOrigin` of its connection.
     ``100 Continue`` is sent only after ``turn``, since it would otherwise appear among
     the answers to earlier requests on the connection.
     """
@@ -228,6 +235,7 @@
     def __init__(self, stream, callbacks, head, parser):
         self.head = head
         self.sock = stream.sock
+        self.origin = stream.origin
         self.turn = None
         self._stream = stream
         self._callbacks = callbacks
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -22,7 +22,6 @@
     RouteLimits,
     RouteProgress,
     after_hold,
-    burst_of_node,
     decide_route,
     may_have_reached_backend,
 )
@@ -106,12 +105,7 @@
 
     def dispatch(self, call):
         """Return ``(reply, body_stream)``, the latter ``None`` for a whole body."""
-        budget = self._budgets.get(call.service.name)
-        if budget is None:
-            budget = self._budgets[call.service.name] = RetryBudget()
-        nodes = len(self._node.follower.state.members)
-        burst = burst_of_node(self._limits.fleet_retry_burst, nodes)
-        budget.earn(call.service.retry_fraction, burst)
+        budget = self._updated_budget(call)
         request = call.request
         refused = self._node.load.refuse_condemned(request, call.body)
         if refused is not None:
@@ -128,6 +122,23 @@
         )
         return self._follow_decisions(call, progress, reply, budget)
 
+    def _updated_budget(self, call):
+        """Return the `RetryBudget` of a request's service, with what the request earns.
+
+        What may be a call of a backend server earns nothing: one caller's request leads
+        to several calls, and bounds count callers' requests.
+        """
+        now_s = boottime_s()
+        name = call.service.name
+        budget = self._budgets.get(name)
+        if budget is None:
+            budget = RetryBudget(self._limits.retry_burst, now_s)
+            self._budgets[name] = budget
+        budget.update(len(self._node.follower.state.members), now_s)
+        if not call.may_be_nested:
+            budget.earn(call.service.retry_fraction)
+        return budget
+
     def _follow_decisions(self, call, progress, reply, budget):
         """Apply routing decisions after a first refusal, until one ends the request."""
         body_stream = None
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -138,6 +138,7 @@
         return Call(
             request=request,
             service=parsed.service,
+            may_be_nested=parsed.may_be_nested,
             body=b"",
             sock=sock,
             began_s=now_s,
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -86,7 +86,7 @@
     def __call__(self, head, connection):
         """Return the `Answer` to one request."""
         now_s = boottime_s()
-        parsed = self._parse(head, now_s)
+        parsed = self._parse(head, connection.origin, now_s)
         if isinstance(parsed, Failure):
             request_id = head.get("x-attempt-id", "")[:MAX_LOGGED_ID_CHARS]
             reply = self._node.ingress.refuse(parsed.failure(), now_s, request_id)
@@ -102,7 +102,7 @@
         reply, parts = self._node.ingress.serve(request, source, connection.sock, now_s)
         return _answer(reply, parts, head)
 
-    def _parse(self, head, now_s) -> Result[CallerRequest, Reason]:
+    def _parse(self, head, origin, now_s) -> Result[CallerRequest, Reason]:
         routes = self._node.routes
         if not routes.version:
             return Failure(Reason.NO_ROUTES)
@@ -146,7 +146,8 @@
             repeatable=route.repeatable,
             target_ms=self._target_ms(head, route),
         )
-        return Success(CallerRequest(request, service))
+        may_be_nested = origin.may_be_nested(part.service, self._caller_service)
+        return Success(CallerRequest(request, service, may_be_nested))
 
     def _target_ms(self, head, route):
         """Return the time left until the latency target, in ms; 1 if it has passed.
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -32,7 +32,7 @@
 from comfreywharf.platform.store import Store, StoreLog
 from comfreywharf.platform.unknown_names import UnknownNames
 from comfreywharf.routes import GrantWay
-from comfreywharf.routing import RouteLimits
+from comfreywharf.routing import BurstTerms, RouteLimits
 
 __all__ = ["PlatformPorts"]
 
@@ -103,7 +103,10 @@
         self.route_limits = RouteLimits(
             total_hold_s=0.3,
             retry_after_ms=250,
-            fleet_retry_burst=RETRY_SHARE * settings.extra_retries,
+            retry_burst=BurstTerms(
+                fleet_retries=RETRY_SHARE * settings.extra_retries,
+                window_s=settings.retry_window_s,
+            ),
             resends=RESENDS,
         )
         self.routes_apply_s = settings.routes_apply_s
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -41,8 +41,8 @@
     in seconds. ``zones`` are the names of all zones; the servers of one may get nothing
     new ``evacuate_s`` after an order to evacuate it. A cold backend server may get
     ``cold_overage`` times the requests per second that its service states, and
-    ``cold_extra_requests`` in any second. All nodes together may send
-    ``retry_fraction`` times the requests of a service as retries, and
+    ``cold_extra_requests`` in any second. In any ``retry_window_s``, all nodes together
+    may send ``retry_fraction`` times the requests of a service as retries, and
     ``extra_retries`` beside them. ``grant_interval_s`` is the time between two grants
     if these are answers to heartbeats, and zero if they are sent at any time.
     """
@@ -60,6 +60,7 @@
     longest_hold_s: float
     retry_fraction: float
     extra_retries: float
+    retry_window_s: float
     routes_apply_s: float
     evacuate_s: float
     zones: tuple[str, ...]
@@ -133,6 +134,10 @@
     return number
 
 
+def _positive_s(text):
+    return _positive(str(duration_s(text)))
+
+
 def _not_negative(text):
     number = float(text)
     if not 0 <= number < math.inf:
@@ -189,6 +194,7 @@
         "longest_hold_s": read(bounds_prefix + "maxHold", duration_s, 10.0),
         "routes_apply_s": read(bounds_prefix + "configApply", duration_s, 2.0),
         "retry_fraction": read(bounds_prefix + "retryBudgetRatio", _positive, 0.2),
+        "retry_window_s": read(bounds_prefix + "budgetWindow", _positive_s, 10.0),
         "extra_retries": read(bounds_prefix + "budgetExtra", _not_negative, 0.0),
         "evacuate_s": optional(bounds_prefix + "evacuate", duration_s, 5.0),
         "cold_overage": optional(bounds_prefix + "coldOverage", _positive, 1.0),
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -67,6 +67,7 @@
 terms.bounds.configApply=2000ms
 terms.bounds.retryBudgetRatio=0.2
 terms.bounds.budgetExtra=58
+terms.bounds.budgetWindow=10s
 new.field=ignored
 """
 
--- a/comfreywharf/platform/tests/test_arrivals.py
+++ b/comfreywharf/platform/tests/test_arrivals.py
@@ -77,3 +77,35 @@
     assert {answer.status for answer in answers} <= {200, 503}
     assert not [run for run in deployment.ledger if run.instance == server.instance]
     assert deployment.send_request("n0").status == 200
+
+
+def request_bytes(path, request_id, *lines):
+    """Return a request for the key without a body."""
+    head = (
+        f"GET {path} HTTP/1.1",
+        "Host: a.example",
+        f"X-Attempt-Id: {request_id}",
+        "X-Deadline-Ms: 1000",
+        f"X-Shard-Key: {KEY}",
+        *lines,
+    )
+    return ("\r\n".join(head) + "\r\n\r\n").encode()
+
+
+def test_calls_of_servers_earn_no_retries(deployment):
+    """Guards against retries beyond the bound at a service that servers call.
+
+    A connection that has carried a request for the service beside the node is a
+    caller's, and its requests earn retries; any other may be the server's.
+    """
+    node = deployment.nodes["n0"]
+    calls = [request_bytes("/stock/1", f"call-{number}") for number in range(10)]
+    closing = request_bytes("/stock/1", "last", "Connection: close")
+    deployment.send("n0", b"".join([*calls, closing]))
+    by_time = node.ingress.retry_tokens["stock"]
+    deployment.send(
+        "n0", request_bytes("/look/1", "look") + b"".join([*calls, closing])
+    )
+    earned = 11 * node.ports.retry_fraction
+    assert node.ingress.retry_tokens["stock"] - by_time >= 0.9 * earned
+    assert by_time < 0.5 * earned
--- a/comfreywharf/routing/__init__.py
+++ b/comfreywharf/routing/__init__.py
@@ -1,7 +1,7 @@
 """Decisions about requests: outcomes, routes, retries and remembered answers."""
 
 from comfreywharf.routing.arrivals import may_have_reached_backend
-from comfreywharf.routing.budget import RetryBudget, burst_of_node
+from comfreywharf.routing.budget import BurstTerms, RetryBudget
 from comfreywharf.routing.memory import (
     Answer,
     AnswerMemory,
@@ -31,6 +31,7 @@
     "AnswerMemory",
     "BeginResult",
     "BeginStatus",
+    "BurstTerms",
     "GiveUp",
     "Hold",
     "HoldBounds",
@@ -45,7 +46,6 @@
     "RouteProgress",
     "Send",
     "after_hold",
-    "burst_of_node",
     "decide_route",
     "may_have_reached_backend",
     "resend_fingerprint",
--- a/comfreywharf/routing/route.py
+++ b/comfreywharf/routing/route.py
@@ -8,6 +8,7 @@
 import attrs
 
 from comfreywharf.routing.arrivals import may_have_reached_backend
+from comfreywharf.routing.budget import BurstTerms
 from comfreywharf.routing.outcomes import Outcome, Reason
 
 __all__ = [
@@ -77,8 +78,8 @@
     nodes are tried between two holds. The holds grow from ``first_hold_s`` to
     ``longest_hold_s`` and last no longer than ``total_hold_s`` together; a fold that
     changes the owner ends a hold early. ``retry_after_ms`` is sent to a caller whose
-    key had no owner for all of that time. ``fleet_retry_burst`` bounds the burst of
-    retries that all nodes together may send after a period without any.
+    key had no owner for all of that time. ``retry_burst`` bounds the retries that all
+    nodes together may send beyond a fraction of the requests.
 
     A request that its owner's server refused is sent there up to ``resends`` more
     times, within the retry budget. A request goes on from up to ``unreached_members``
@@ -95,7 +96,7 @@
     longest_hold_s: float = 0.1
     total_hold_s: float = 3.0
     retry_after_ms: int = 1000
-    fleet_retry_burst: float = 60.0
+    retry_burst: BurstTerms = BurstTerms(fleet_retries=60.0, window_s=10.0)
     resends: int = 0
     unreached_members: int = 3
     passes: int = 2
--- a/comfreywharf/routing/tests/test_budget.py
+++ b/comfreywharf/routing/tests/test_budget.py
@@ -10,7 +10,7 @@
     run_state_machine_as_test,
 )
 
-from comfreywharf.routing import RetryBudget, burst_of_node
+from comfreywharf.routing import BurstTerms, RetryBudget
 
 
 def test_all_nodes_together_stay_within_the_fleets_budget():
@@ -19,16 +19,19 @@
     Ten nodes that each saved up a full burst would otherwise send 200 retries
     at once when a server refuses everything.
     """
-    nodes = [RetryBudget() for _ in range(10)]
+    terms = BurstTerms(fleet_retries=100.0, window_s=10.0)
+    nodes = [RetryBudget(terms, now_s=0.0) for _ in range(10)]
+    for node in nodes:
+        node.update(len(nodes), now_s=0.0)
     requests = 1000
     for node in nodes:
         for _ in range(requests):
-            node.earn(0.1, burst=5.0)
+            node.earn(0.1)
     at_once = sum(node.take() for node in nodes for _ in range(100))
     later = 0
     for node in nodes:
         for _ in range(requests // len(nodes)):
-            node.earn(0.1, burst=5.0)
+            node.earn(0.1)
             later += node.take()
     assert at_once + later <= 0.2 * requests + 58
 
@@ -36,23 +39,28 @@
 class FleetRetries(RuleBasedStateMachine):
     """Nodes that join, restart and leave, and a server that refuses at times.
 
-    Whatever the nodes do, the retries of any sequence of steps stay within the fraction
-    of the requests in it, and what all nodes together may have saved up before: the
-    fleet's burst, or one for each node.
+    Whatever the nodes do, the retries of all of them in any window stay within the
+    fraction of the requests in it and the fleet's retries beside that. Nodes that are
+    more than these save up one each.
     """
 
     FRACTION = 0.2
-    FLEET_BURST = 12.0
+    TERMS = BurstTerms(fleet_retries=24.0, window_s=10.0)
 
     def __init__(self):
         super().__init__()
-        self.budgets = [RetryBudget()]
+        self.now_s = 0.0
         self.most_nodes = 1
         self.steps = []
+        self.budgets = [self.new_budget()]
+
+    def new_budget(self):
+        """Return the budget of a process that has just started."""
+        return RetryBudget(self.TERMS, self.now_s)
 
-    def burst(self):
-        """Return what a node may save up."""
-        return burst_of_node(self.FLEET_BURST, len(self.budgets))
+    def nodes_known(self):
+        """Return how many nodes each of them takes for the fleet."""
+        return len(self.budgets)
 
     @rule(
         node=st.integers(0, 60),
@@ -63,13 +71,14 @@
     def serve(self, node, requests, retries, unreached):
         """Let a node get requests, and send retries of which some reach no server."""
         budget = self.budgets[node % len(self.budgets)]
+        budget.update(self.nodes_known(), self.now_s)
         for _ in range(requests):
-            budget.earn(self.FRACTION, self.burst())
+            budget.earn(self.FRACTION)
         sent = sum(budget.take() for _ in range(retries))
         given_back = min(sent, unreached)
         for _ in range(given_back):
             budget.give_back()
-        self.steps.append((requests, sent - given_back))
+        self.steps.append((self.now_s, requests, sent - given_back))
 
     @rule(requests=st.integers(1, 80), retries=st.integers(0, 20))
     def serve_everywhere(self, requests, retries):
@@ -77,16 +86,21 @@
         for node in range(len(self.budgets)):
             self.serve(node, requests, retries, 0)
 
+    @rule(passed_s=st.floats(0.1, 12.0))
+    def pass_time(self, passed_s):
+        """Let time pass."""
+        self.now_s += passed_s
+
     @rule(nodes=st.integers(1, 8))
     def join(self, nodes):
         """Add nodes; the others hear of them before their next request."""
-        self.budgets += [RetryBudget() for _ in range(nodes)]
+        self.budgets += [self.new_budget() for _ in range(nodes)]
         self.most_nodes = max(self.most_nodes, len(self.budgets))
 
     @rule(node=st.integers(0, 60))
     def restart(self, node):
         """A new process begins without retries."""
-        self.budgets[node % len(self.budgets)] = RetryBudget()
+        self.budgets[node % len(self.budgets)] = self.new_budget()
 
     @precondition(lambda self: len(self.budgets) > 1)
     @rule(node=st.integers(0, 60))
@@ -97,20 +111,23 @@
     @invariant()
     def retries_stay_within_the_bound(self):
         """Check all windows that end now."""
-        saved = max(self.FLEET_BURST, self.most_nodes)
+        half = self.TERMS.fleet_retries / 2
+        beside = max(half, self.most_nodes) + half
         requests = retries = 0
-        for step_requests, step_retries in reversed(self.steps):
+        for at_s, step_requests, step_retries in reversed(self.steps):
+            if at_s < self.now_s - self.TERMS.window_s:
+                break
             requests += step_requests
             retries += step_retries
-            assert retries <= self.FRACTION * requests + saved + 1e-6
+            assert retries <= self.FRACTION * requests + beside + 1e-6
 
 
 class FleetOfOwnBursts(FleetRetries):
-    """The same with a burst that doesn't depend on the number of nodes."""
+    """The same with nodes that don't know how many they are."""
 
-    def burst(self):
-        """Return what a node may save up."""
-        return self.FLEET_BURST
+    def nodes_known(self):
+        """Return how many nodes each of them takes for the fleet."""
+        return 1
 
 
 SETTINGS = settings(derandomize=True, deadline=None, max_examples=150)
--- a/comfreywharf/routing/tests/test_route.py
+++ b/comfreywharf/routing/tests/test_route.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings, strategies as st
 
 from comfreywharf.routing import (
+    BurstTerms,
     GiveUp,
     Hold,
     Outcome,
@@ -148,14 +149,14 @@
 @given(st.lists(st.booleans(), max_size=400), st.floats(0, 0.5))
 def test_retries_stay_under_their_fraction(sends_are_retries, fraction):
     """Retries never exceed the declared fraction of the first sends."""
-    budget = RetryBudget()
+    budget = RetryBudget(BurstTerms(fleet_retries=40.0, window_s=10.0), now_s=0.0)
     firsts = retries = 0
     for retry in sends_are_retries:
         if retry:
             retries += budget.take()
         else:
             firsts += 1
-            budget.earn(fraction, burst=20.0)
+            budget.earn(fraction)
         assert retries <= firsts * fraction + 1e-6
 
 
