Move the HTTP server for callers to a subpackage of its own

daemon/requests had 20 modules, the most that a folder may have. caller_server and caller_stream use nothing of the others but the connections' closing. daemon.requests.caller_server -> daemon.callers.caller_server, caller_stream likewise. No change of behaviour; tests of daemon and architecture pass.

--- a/comfreywharf/daemon/requests/caller_server.py
+++ b/comfreywharf/daemon/callers/caller_server.py
@@ -17,13 +17,13 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from comfreywharf.daemon.connections.closing import reset_on_close
-from comfreywharf.daemon.requests.caller_stream import (
+from comfreywharf.daemon.callers.caller_stream import (
     BLOCK_BYTES,
     BadRequest,
     CallerGone,
     CallerStream,
 )
+from comfreywharf.daemon.connections.closing import reset_on_close
 
 __all__ = ["Answer", "CallerServer"]
 
--- a/comfreywharf/daemon/requests/__init__.py
+++ b/comfreywharf/daemon/requests/__init__.py
@@ -1,5 +1,5 @@
-"""The path of a request: from the caller's connection to the backend server and back.
+"""The path of a request: from a caller to the backend server and back.
 
-Other packages use `Ingress` and `CallerServer` to accept requests, `Forwarder` to
-forward them, and `Load`, `Routes` and `NodeMemory` to query the state they depend on.
+Other packages use `Ingress` to accept requests, `Forwarder` to forward them, and
+`Load`, `Routes` and `NodeMemory` to query the state they depend on.
 """
--- a/comfreywharf/daemon/tests/test_caller_server.py
+++ b/comfreywharf/daemon/tests/test_caller_server.py
@@ -6,8 +6,8 @@
 import pytest
 from gevent import socket
 
-from comfreywharf.daemon.requests.caller_server import Answer, CallerServer
-from comfreywharf.daemon.requests.caller_stream import CallerConnectionLimits
+from comfreywharf.daemon.callers.caller_server import Answer, CallerServer
+from comfreywharf.daemon.callers.caller_stream import CallerConnectionLimits
 
 
 class Application:
--- a/comfreywharf/daemon/tests/test_pipelining.py
+++ b/comfreywharf/daemon/tests/test_pipelining.py
@@ -9,12 +9,12 @@
 from gevent.event import Event
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from comfreywharf.daemon.requests.caller_server import (
+from comfreywharf.daemon.callers.caller_server import (
     MAX_PIPELINED_REQUESTS,
     Answer,
     CallerServer,
 )
-from comfreywharf.daemon.requests.caller_stream import CallerConnectionLimits
+from comfreywharf.daemon.callers.caller_stream import CallerConnectionLimits
 
 LIMITS = CallerConnectionLimits(
     header_bytes=2000, header_timeout_s=1.0, idle_timeout_s=1.0
--- a/comfreywharf/daemon/tests/test_subpackages.py
+++ b/comfreywharf/daemon/tests/test_subpackages.py
@@ -12,6 +12,7 @@
 
 ALLOWED_IMPORTS = {
     "requests": {"servers", "connections"},
+    "callers": {"connections"},
     "servers": {"records", "connections"},
     "ownership": {"records"},
     "records": {"connections"},
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -5,9 +5,9 @@
 from returns.result import Failure, Result, Success
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.callers.caller_server import Answer
+from comfreywharf.daemon.callers.caller_stream import CallerConnectionLimits
 from comfreywharf.daemon.requests.caller_requests import CallerRequest, target_left_ms
-from comfreywharf.daemon.requests.caller_server import Answer
-from comfreywharf.daemon.requests.caller_stream import CallerConnectionLimits
 from comfreywharf.daemon.requests.ingress import BodySource
 from comfreywharf.records import NUMBER_KEYS, number_key
 from comfreywharf.routes import is_absence_certain
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -6,6 +6,7 @@
 import gevent
 from geventhttpclient.response import HTTPParseError
 
+from comfreywharf.daemon.callers.caller_server import CallerServer
 from comfreywharf.daemon.connections.http import SingleSendClient
 from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.operating.decisions import StdoutLineWriter
@@ -16,7 +17,6 @@
 from comfreywharf.daemon.ownership.service_declarer import ServiceDeclarer
 from comfreywharf.daemon.ports import Ports
 from comfreywharf.daemon.records.follower import ReadOptions
-from comfreywharf.daemon.requests.caller_server import CallerServer
 from comfreywharf.daemon.servers.backend_lifecycle import BackendLifecycle
 from comfreywharf.load import ConcurrencyLimit, NearFirst
 from comfreywharf.load.admission import RetryAfter
