Count the calls of a repeated run at the services that it calls

Servers: calls that a repeated run makes count as repeats at the service that is called, and nobody counted them.

Change: the node beside a server learns how many calls a run makes (requests that may be the server's, by runs). A refusal of the server carries that. A retry costs a token of its service, and at each called service what its run calls; what wasn't run is given back.

A retry that isn't allowed is now logged as given_up, no longer as sent_again.

--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -7,6 +7,7 @@
 from comfreywharf.daemon.requests.bodies import PART_BYTES, BodyError
 from comfreywharf.daemon.requests.caller_requests import target_left_ms
 from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.requests.retries import Retries
 from comfreywharf.daemon.requests.uploads import is_inline, send_upload
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.servers.leaving_messages import from_message, to_message
@@ -18,7 +19,6 @@
     Outcome,
     Ownership,
     Reason,
-    RetryBudget,
     RouteLimits,
     RouteProgress,
     after_hold,
@@ -98,14 +98,14 @@
     def __init__(self, node, limits=None):
         self._node = node
         self._limits = limits or RouteLimits()
-        self._budgets = {}
+        self.retries = Retries(node, self._limits.retry_burst)
         self._hold_bounds = HoldBounds()
         self._fold_changed = Event()
         node.follower.subscribe(self._on_folded)
 
     def dispatch(self, call):
         """Return ``(reply, body_stream)``, the latter ``None`` for a whole body."""
-        budget = self._updated_budget(call)
+        self.retries.count_request(call)
         request = call.request
         refused = self._node.load.refuse_condemned(request, call.body)
         if refused is not None:
@@ -120,37 +120,20 @@
         progress = RouteProgress(
             target=target, retries_left=request.retries_left, passes=passes
         )
-        return self._follow_decisions(call, progress, reply, budget)
+        return self._follow_decisions(call, progress, reply)
 
-    def _updated_budget(self, call):
-        """Return the `RetryBudget` of a request's service, with what the request earns.
-
-        What may be a call of a backend server earns nothing: one caller's request leads
-        to several calls, and bounds count callers' requests.
-        """
-        now_s = boottime_s()
-        name = call.service.name
-        budget = self._budgets.get(name)
-        if budget is None:
-            budget = RetryBudget(self._limits.retry_burst, now_s)
-            self._budgets[name] = budget
-        budget.update(len(self._node.follower.state.members), now_s)
-        if not call.may_be_nested:
-            budget.earn(call.service.retry_fraction)
-        return budget
-
-    def _follow_decisions(self, call, progress, reply, budget):
+    def _follow_decisions(self, call, progress, reply):
         """Apply routing decisions after a first refusal, until one ends the request."""
         body_stream = None
         tried = {progress.target}
         while reply.reason:
+            self.retries.learn_calls(call.service.name, reply)
             step = self._decide(call, progress, reply, tried)
-            self._report_step(step, call, reply, budget)
+            if step.retry and not self.retries.allow(call.service.name):
+                step = GiveUp()
+            self._report_step(step, call, reply)
             if isinstance(step, GiveUp):
                 break
-            if step.retry and not budget.allows_retry:
-                self._node.metrics.retry_refused(call.service.name)
-                break
             progress = step.progress
             if isinstance(step, Hold):
                 if not self._hold(step, call):
@@ -160,7 +143,7 @@
                 return refusal(Reason.CALLER_GONE_BEFORE_START), None
             call.request.retries_left = progress.retries_left
             tried.add(progress.target)
-            sent = self._send_counted(progress, call, reply.reason, budget)
+            sent = self._send_counted(progress, call, reply.reason)
             if sent is None:
                 break
             reply, body_stream = sent
@@ -168,29 +151,27 @@
             reply.retry_after_ms = reply.retry_after_ms or self._limits.retry_after_ms
         return reply, body_stream
 
-    def _send_counted(self, progress, call, reason, budget):
+    def _send_counted(self, progress, call, reason):
         """Send a request again; return ``None`` if that is a retry too many.
 
-        ``reason`` is that of its last refusal. A retry that reaches no backend server
-        isn't counted.
+        ``reason`` is that of its last refusal.
         """
         if not progress.is_retry:
             return self._send_measured(progress.target, call, progress.passes)
-        metrics = self._node.metrics
-        if not budget.take():
-            metrics.retry_refused(call.service.name)
+        retry = self.retries.take(call.service.name)
+        if retry is None:
             return None
-        metrics.request_sent_again(call.service.name, reason)
+        self._node.metrics.request_sent_again(call.service.name, reason)
         reply, body_stream = self._send_measured(progress.target, call, progress.passes)
-        if not may_have_reached_backend(reply):
-            budget.give_back()
+        self.retries.settle(retry, reply)
         return reply, body_stream
 
-    def _report_step(self, step, call, reply, budget):
+    def _report_step(self, step, call, reply):
         kind = {GiveUp: "given_up", Hold: "held"}.get(type(step), "sent_again")
         target = "" if isinstance(step, GiveUp) else step.progress.target
         ownership = self._ownership(call.request) if call.request.key else None
-        retries = {"counted": step.retry, "tokens": budget.tokens}
+        tokens = self.retries.tokens[call.service.name]
+        retries = {"counted": step.retry, "tokens": tokens}
         self._node.decisions.next_step(call, kind, reply, target, ownership, retries)
 
     def _decide(self, call, progress, reply, tried):
@@ -243,11 +224,6 @@
             changed, self._fold_changed = self._fold_changed, Event()
             changed.set()
 
-    @property
-    def retry_tokens(self):
-        """Return how many retries of each service are allowed now."""
-        return {name: budget.tokens for name, budget in self._budgets.items()}
-
     def _send_measured(self, target, call, passes):
         reply, body_stream = self._send_to_member(target, call, passes)
         if may_have_reached_backend(reply):
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -300,6 +300,9 @@
         reply = refusal(reason)
         reply.backend_reached = self._running.sent
         if reply.outcome == Outcome.NOT_RUN:
+            if reply.backend_reached:
+                nested = self._node.load.nested.calls_per_run(boottime_s())
+                reply.calls_per_run = nested
             reply.retry_after_ms = self._node.ports.refused_retry_after_ms
             self._complete()
         else:
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -62,7 +62,7 @@
     @property
     def retry_tokens(self):
         """Return how many retries of each service are allowed now."""
-        return self._dispatcher.retry_tokens
+        return self._dispatcher.retries.tokens
 
     def make_server(self, host, port):
         """Return the server, not yet started."""
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -22,6 +22,7 @@
 from comfreywharf.load.admission import AdmissionState, Result
 from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.coldstart import ColdLimit
+from comfreywharf.load.nested import NestedCalls
 from comfreywharf.load.ratelimit import ServerRateLimit
 from comfreywharf.records import ServiceConfig
 from comfreywharf.routing import SAFE_METHODS, Reason
@@ -86,6 +87,7 @@
         self.quarantine = NodeQuarantine(node)
         self._collection_limiter = BodyCollectionLimiter()
         self.members = Members(node)
+        self.nested = NestedCalls()
 
     # The backend server beside this node.
 
@@ -301,6 +303,7 @@
     def answered(self, slot):
         """Record an answer of the backend server."""
         slot.result = Result.ANSWERED
+        self.nested.record_run(boottime_s())
 
     def refused(self, slot, reason, backend):
         """Record a request without an answer, and the reason."""
--- a/comfreywharf/platform/tests/fleets.py
+++ b/comfreywharf/platform/tests/fleets.py
@@ -63,12 +63,19 @@
     The owner's server answers as ``server`` says: a `Reason` with which it refuses all
     requests, or ``None`` if it runs them. Of these it gets only the next
     ``misdirects``, unless that is ``None``; the node beside it refuses the others.
+
+    With ``runs_second_arrivals`` it runs each request that arrives a second time.
+    ``repeated_runs`` counts those, each of which makes ``calls`` calls to the service
+    ``stock``.
     """
 
     def __init__(self, path, size):
         path.mkdir(exist_ok=True)
         self.server = None
         self.misdirects = None
+        self.runs_second_arrivals = False
+        self.repeated_runs = 0
+        self.calls = 0.0
         self.arrivals = Arrivals()
         self._requests = 0
         names = [f"n{number}" for number in range(size)]
@@ -85,7 +92,7 @@
     @property
     def retry_tokens(self):
         """Return how many retries all nodes together may send now."""
-        return sum(sum(d.retry_tokens.values()) for d in self._dispatchers)
+        return sum(sum(d.retries.tokens.values()) for d in self._dispatchers)
 
     def begin_window(self):
         """Count anew."""
@@ -99,10 +106,13 @@
             self.misdirects -= 1
         by_id = self.arrivals.by_id
         by_id[request.request_id] = by_id.get(request.request_id, 0) + 1
-        if self.server is None:
+        second = by_id[request.request_id] > 1
+        if self.server is None or second and self.runs_second_arrivals:
+            self.repeated_runs += second
             return _answer()
         reply = refusal(self.server)
         reply.backend_reached = True
+        reply.calls_per_run = {"stock": self.calls} if self.calls else {}
         return reply
 
     def send(self, per_node):
--- a/comfreywharf/platform/tests/test_arrivals.py
+++ b/comfreywharf/platform/tests/test_arrivals.py
@@ -51,6 +51,19 @@
         assert arrivals.repeated <= arrivals.allowed
 
 
+def test_calls_of_repeated_runs_stay_within_the_called_services_bound(tmp_path):
+    """Guards against retries that become arrivals beyond the bound elsewhere.
+
+    Each run makes a call to a service that gets no other requests.
+    """
+    fleet = Fleet(tmp_path, 10)
+    fleet.send(per_node=100)
+    fleet.server, fleet.runs_second_arrivals = Reason.REFUSED_BY_BACKEND, True
+    fleet.calls = 1.0
+    fleet.send(per_node=100)
+    assert fleet.repeated_runs * fleet.calls <= EXTRA
+
+
 def test_a_server_that_holds_no_key_for_a_while_gets_few_requests_twice(deployment):
     """Guards against the same through real nodes: 2 s in which a server misdirects."""
     server = deployment.servers[deployment.holder(KEY)]
--- a/comfreywharf/routing/__init__.py
+++ b/comfreywharf/routing/__init__.py
@@ -1,7 +1,7 @@
 """Decisions about requests: outcomes, routes, retries and remembered answers."""
 
 from comfreywharf.routing.arrivals import may_have_reached_backend
-from comfreywharf.routing.budget import BurstTerms, RetryBudget
+from comfreywharf.routing.budget import BurstTerms, Retry, RetryBudget, RetryBudgets
 from comfreywharf.routing.memory import (
     Answer,
     AnswerMemory,
@@ -41,7 +41,9 @@
     "Ownership",
     "Reason",
     "RequestKey",
+    "Retry",
     "RetryBudget",
+    "RetryBudgets",
     "RouteLimits",
     "RouteProgress",
     "Send",
--- a/comfreywharf/routing/budget.py
+++ b/comfreywharf/routing/budget.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-__all__ = ["BurstTerms", "RetryBudget"]
+__all__ = ["BurstTerms", "Retry", "RetryBudget", "RetryBudgets"]
 
 MIN_BURST = 1.0
 """With less than one token, a node could never send a retry."""
@@ -56,7 +56,7 @@
     >>> budget.take(), budget.take()
     (True, False)
     >>> budget.update(nodes=1, now_s=2.0)
-    >>> budget.tokens
+    >>> round(budget.tokens, 3)
     1.0
     """
 
@@ -82,18 +82,102 @@
         """Add what a request earns, the service's `retry_fraction`."""
         self._tokens = min(self._burst, self._tokens + tokens)
 
-    @property
-    def allows_retry(self):
-        """Return whether a retry is allowed."""
-        return self._tokens >= 1 - ROUNDING
+    def covers(self, tokens=1.0):
+        """Return whether so many retries are allowed.
+
+        More than a node can ever save up are allowed once it has saved up all it can.
+        """
+        return self._tokens >= min(tokens, self._burst) - ROUNDING
 
-    def take(self):
-        """Return whether a retry is allowed, and count it if so."""
-        if not self.allows_retry:
+    def take(self, tokens=1.0):
+        """Return whether so many retries are allowed, and count them if so."""
+        if not self.covers(tokens):
             return False
-        self._tokens = max(0.0, self._tokens - 1)
+        self._tokens -= tokens
         return True
 
-    def give_back(self):
-        """Take back the count of a retry that reached no backend server."""
-        self._tokens = min(self._burst, self._tokens + 1)
+    def give_back(self, tokens=1.0):
+        """Take back the count of retries that reached no backend server."""
+        self._tokens = min(self._burst, self._tokens + tokens)
+
+
+@attrs.frozen(kw_only=True)
+class Retry:
+    """A retry that was counted; ``calls`` are those that its run would make."""
+
+    service: str
+    calls: dict[str, float]
+
+
+class RetryBudgets:
+    """The budgets of all services at one node, and what a retry costs each of them.
+
+    A run makes calls to other services. Those of a repeated run are retries there,
+    since they follow from a retry, although each reaches a server for the first time.
+
+    >>> terms = BurstTerms(fleet_retries=10, window_s=10)
+    >>> budgets = RetryBudgets(terms)
+    >>> for _ in range(20):
+    ...     budgets.update("booking", nodes=1, now_s=0.0).earn(0.1)
+    ...     budgets.update("stock", nodes=1, now_s=0.0).earn(0.1)
+    >>> budgets.learn_calls("booking", {"stock": 1.5})
+    >>> retry = budgets.take("booking", nodes=1, now_s=0.0)
+    >>> budgets.take("booking", nodes=1, now_s=0.0) is None
+    True
+    >>> budgets.settle(retry, reached=True, ran=False)
+    >>> {name: round(tokens, 3) for name, tokens in budgets.tokens.items()}
+    {'booking': 1.0, 'stock': 2.0}
+    """
+
+    def __init__(self, terms):
+        self._terms = terms
+        self._budgets = {}
+        self._calls_per_run = {}
+
+    @property
+    def tokens(self):
+        """Return how many retries are allowed now, by service."""
+        return {name: budget.tokens for name, budget in self._budgets.items()}
+
+    def update(self, service, nodes, now_s):
+        """Return the `RetryBudget` of a service, with what it earned as time passed."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self._terms, now_s)
+        budget.update(nodes, now_s)
+        return budget
+
+    def learn_calls(self, service, calls_per_run):
+        """Set how many calls to each service a run of a service makes on average."""
+        self._calls_per_run[service] = dict(calls_per_run)
+
+    def allow(self, service, nodes, now_s):
+        """Return whether a retry for a service is allowed."""
+        return all(
+            self.update(name, nodes, now_s).covers(tokens)
+            for name, tokens in self._costs(service)
+        )
+
+    def take(self, service, nodes, now_s):
+        """Count a retry and return it as a `Retry`, or ``None`` if it isn't allowed."""
+        if not self.allow(service, nodes, now_s):
+            return None
+        for name, tokens in self._costs(service):
+            self._budgets[name].take(tokens)
+        return Retry(service=service, calls=self._calls_per_run.get(service, {}))
+
+    def settle(self, retry, *, reached, ran):
+        """Give back what a retry didn't use.
+
+        ``reached`` is whether it reached a backend server, ``ran`` whether it may have
+        run there.
+        """
+        if not reached:
+            self._budgets[retry.service].give_back()
+        if not ran:
+            for name, tokens in retry.calls.items():
+                self._budgets[name].give_back(tokens)
+
+    def _costs(self, service):
+        yield service, 1.0
+        yield from self._calls_per_run.get(service, {}).items()
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -671,6 +671,7 @@
      - limit_per_s
      - leaving
      - backend_reached
+     - calls_per_run
 
     """
 
@@ -689,10 +690,11 @@
         'limit_per_s',
         'leaving',
         'backend_reached',
+        'calls_per_run',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None, calls_per_run=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -707,6 +709,7 @@
         self.limit_per_s = limit_per_s
         self.leaving = leaving
         self.backend_reached = backend_reached
+        self.calls_per_run = calls_per_run
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -794,6 +797,17 @@
                     self.backend_reached = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.MAP:
+                    self.calls_per_run = {}
+                    (_ktype14, _vtype15, _size13) = iprot.readMapBegin()
+                    for _i17 in range(_size13):
+                        _key18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val19 = iprot.readDouble()
+                        self.calls_per_run[_key18] = _val19
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -815,8 +829,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter13 in self.headers:
-                iter13.write(oprot)
+            for iter20 in self.headers:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -863,6 +877,14 @@
             oprot.writeFieldBegin('backend_reached', TType.BOOL, 14)
             oprot.writeBool(self.backend_reached)
             oprot.writeFieldEnd()
+        if self.calls_per_run is not None:
+            oprot.writeFieldBegin('calls_per_run', TType.MAP, 15)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.calls_per_run))
+            for kiter21, viter22 in self.calls_per_run.items():
+                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
+                oprot.writeDouble(viter22)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1680,11 +1702,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Header()
-                        _elem19.read(iprot)
-                        self.headers.append(_elem19)
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = Header()
+                        _elem28.read(iprot)
+                        self.headers.append(_elem28)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1742,8 +1764,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter20 in self.headers:
-                iter20.write(oprot)
+            for iter29 in self.headers:
+                iter29.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2006,11 +2028,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.answers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = RememberedAnswer()
-                        _elem26.read(iprot)
-                        self.answers.append(_elem26)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = RememberedAnswer()
+                        _elem35.read(iprot)
+                        self.answers.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2055,8 +2077,8 @@
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter27 in self.answers:
-                iter27.write(oprot)
+            for iter36 in self.answers:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.more is not None:
@@ -2312,11 +2334,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Notice()
-                        _elem33.read(iprot)
-                        self.notices.append(_elem33)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = Notice()
+                        _elem42.read(iprot)
+                        self.notices.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2380,8 +2402,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter34 in self.notices:
-                iter34.write(oprot)
+            for iter43 in self.notices:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.event_clock is not None:
@@ -2522,11 +2544,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Notice()
-                        _elem40.read(iprot)
-                        self.notices.append(_elem40)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Notice()
+                        _elem49.read(iprot)
+                        self.notices.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2568,10 +2590,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.evacuated_domains = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated_domains.append(_elem46)
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_domains.append(_elem55)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2596,8 +2618,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter47 in self.notices:
-                iter47.write(oprot)
+            for iter56 in self.notices:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.event_clock is not None:
@@ -2631,8 +2653,8 @@
         if self.evacuated_domains is not None:
             oprot.writeFieldBegin('evacuated_domains', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.evacuated_domains))
-            for iter48 in self.evacuated_domains:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter57 in self.evacuated_domains:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2967,22 +2989,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.slices = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = SliceLoad()
-                        _elem54.read(iprot)
-                        self.slices.append(_elem54)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = SliceLoad()
+                        _elem63.read(iprot)
+                        self.slices.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = HotKey()
-                        _elem60.read(iprot)
-                        self.hot_keys.append(_elem60)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = HotKey()
+                        _elem69.read(iprot)
+                        self.hot_keys.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3042,15 +3064,15 @@
         if self.slices is not None:
             oprot.writeFieldBegin('slices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.slices))
-            for iter61 in self.slices:
-                iter61.write(oprot)
+            for iter70 in self.slices:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter62 in self.hot_keys:
-                iter62.write(oprot)
+            for iter71 in self.hot_keys:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy_fraction is not None:
@@ -3281,6 +3303,7 @@
     (12, TType.DOUBLE, 'limit_per_s', None, None, ),  # 12
     (13, TType.STRUCT, 'leaving', [LeavingServer, None], None, ),  # 13
     (14, TType.BOOL, 'backend_reached', None, None, ),  # 14
+    (15, TType.MAP, 'calls_per_run', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 15
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -72,7 +72,9 @@
   11: optional i32 cold_ms,            // how long the sender's server stays cold
   12: optional double limit_per_s,     // what the sender's server takes; unset: no limit
   13: optional LeavingServer leaving,  // the sender's server, if it leaves
-  14: optional bool backend_reached    // whether a refused request was sent to the server
+  14: optional bool backend_reached,   // whether a refused request was sent to the server
+  // With a refusal of the server: the calls to each service that one of its runs makes.
+  15: optional map<string, double> calls_per_run
 }
 
 struct BodyChunk {
