Grant a range again at once when its server refuses a request for it

Callers and servers: a server that has lost what it was granted answers 421 to each request until the next renewal, which comes when less than 0.6 s of the hold is left.

Cause: grants by orders had no use for a refusal; only grants by heartbeats heard of it. The node went on to take the range for held and to send requests for it.

Change: the range counts as not held, its grant is sent again, and the next request waits for that, as for any grant in flight. A refusal of a request that was sent before the latest grant was accepted says nothing; after one, others are ignored for 0.5 s, so that a server that refuses all requests gets two grants a second and not one a request.

Only what counts as confirmed changes, not how long a range may be held, by which the next owner waits.

--- a/comfreywharf/daemon/ownership/grants_by_service.py
+++ b/comfreywharf/daemon/ownership/grants_by_service.py
@@ -54,9 +54,9 @@
         """Handle the end of the backend server, which no longer holds any key."""
         self.active_grants.backend_ended()
 
-    def handle_refusal(self, right):
+    def handle_refusal(self, right, sent_s):
         """Record that the server refused the key of a `Right` as not held."""
-        self.active_grants.handle_refusal(right)
+        self.active_grants.handle_refusal(right, sent_s)
 
     def earlier_process_granted(self, until_s):
         """Register until when grants of an earlier process of this node may last."""
--- a/comfreywharf/daemon/ownership/heartbeat_grants.py
+++ b/comfreywharf/daemon/ownership/heartbeat_grants.py
@@ -151,7 +151,7 @@
             right.service, right.key_hash, now_s, slice_start=start
         )
 
-    def handle_refusal(self, right):
+    def handle_refusal(self, right, sent_s):
         """Stop sending requests for a key that the server doesn't hold."""
         if right.key_hash and boottime_s() > self._answered_s + REFUSAL_GRACE_S:
             self.book.mark_not_held(right.service, right.key_hash)
--- a/comfreywharf/daemon/ownership/key_grants.py
+++ b/comfreywharf/daemon/ownership/key_grants.py
@@ -55,8 +55,11 @@
     def backend_ended(self):
         """Handle the end of the backend server, which no longer holds any key."""
 
-    def handle_refusal(self, right):
-        """Record that the server refused the key of a `Right` as not held."""
+    def handle_refusal(self, right, sent_s):
+        """Record that the server refused the key of a `Right` as not held.
+
+        ``sent_s`` is when the refused request was sent.
+        """
         return
 
     def earlier_process_granted(self, until_s):
--- a/comfreywharf/daemon/ownership/range_grants.py
+++ b/comfreywharf/daemon/ownership/range_grants.py
@@ -192,6 +192,22 @@
             gevent.sleep(PENDING_GRANT_POLL_S)
         return self.book.holds(slice_id, right.fence, boottime_s())
 
+    def handle_refusal(self, right, sent_s):
+        """Grant a range again before further requests for it are sent."""
+        backend = self._node.backend
+        if not right.key_hash or backend is None:
+            return
+        slice_id = (right.service, right.slice_start)
+        if self.book.request_refused(slice_id, right.fence, sent_s, boottime_s()):
+            self._node.report(
+                "grant_failed",
+                name=backend.announcement.instance,
+                start=right.slice_start,
+                fence=right.fence,
+                why="request refused",
+            )
+            self.push()
+
     def _try_release(self, slice_range, numbers, fence):
         backend = self._node.backend
         if backend is not None:
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -292,7 +292,7 @@
     def _refuse(self, reason, detail=""):
         self._node.load.refused(self._running.slot, reason, self._backend)
         if reason is Reason.NOT_YET_OWNER:
-            self._node.grants.handle_refusal(self._running.right)
+            self._node.grants.handle_refusal(self._running.right, self._sent_s)
         instance = self._backend.announcement.instance
         self._node.decisions.backend_failed(
             self._request, self._running, instance, reason, detail
--- a/comfreywharf/ownership/holds.py
+++ b/comfreywharf/ownership/holds.py
@@ -21,6 +21,10 @@
     "HoldTerms",
 ]
 
+REFUSAL_PAUSE_S = 0.5
+"""How long further refusals of requests for a range are ignored after one. A server
+that refuses them all would otherwise get a grant with each request."""
+
 NOTHING_HELD_S = float("-inf")
 """The end of all holds of a backend server that has certainly crashed. ``None`` stands
 for an end that isn't known."""
@@ -104,13 +108,16 @@
     ``taken_until_s`` is the end that counts as accepted by the server;
     ``possible_until_s`` is the latest end of all grants. ``lost_until_s`` is the end
     of grants whose answers were lost, and ``listed_until_s`` has the ends of lists in
-    transit, by connection.
+    transit, by connection. ``taken_s`` is when the server last accepted a grant, and
+    ``refused_s`` when it last refused a request for the range.
     """
 
     start: int
     end: int
     fence: int
     taken_until_s: float = float("-inf")
+    taken_s: float = float("-inf")
+    refused_s: float = float("-inf")
     possible_until_s: float = float("-inf")
     lost_until_s: float = float("-inf")
     listed_until_s: dict = attrs.Factory(dict)
@@ -303,6 +310,7 @@
         hold.order_pending = False
         if answer is GrantAnswer.TAKEN:
             hold.taken_until_s = max(hold.taken_until_s, order.until_s)
+            hold.taken_s = now_s
             self._handovers.pop(order.slice_id, None)
         elif answer is GrantAnswer.OUTDATED:
             hold.outdated = True
@@ -312,6 +320,21 @@
             slack = 1 + self.terms.slow_clock
             hold.lost_until_s = max(hold.lost_until_s, now_s + order.hold_s * slack)
 
+    def request_refused(self, slice_id, fence, sent_s, now_s):
+        """Register that the server refused a request for a key of a slice as not held.
+
+        Return whether the slice counts as not held now. It doesn't if the request was
+        sent before the latest grant was accepted, or if that was refused just before.
+        """
+        hold = self._holds.get(slice_id)
+        if hold is None or hold.fence != fence or sent_s <= hold.taken_s:
+            return False
+        if now_s - hold.refused_s < REFUSAL_PAUSE_S:
+            return False
+        hold.refused_s = now_s
+        hold.taken_until_s = float("-inf")
+        return True
+
     def _hold_for(self, order):
         """Return the hold of an order, or ``None`` after a `clear`."""
         service, start = order.slice_id
--- a/comfreywharf/platform/tests/test_arrivals.py
+++ b/comfreywharf/platform/tests/test_arrivals.py
@@ -13,6 +13,9 @@
 CALLER_PAUSE_S = 0.05
 MISDIRECTED_S = 2.0
 FLEET_SIZES = (10, 40)
+LOST_HOLDS = 4
+REQUESTS_THAT_EARN_A_RETRY = 30
+BETWEEN_LOSSES_S = 0.7
 
 
 def arrivals_after_calm(path, size, refusal):
@@ -122,3 +125,18 @@
     earned = 11 * node.ports.retry_fraction
     assert node.ingress.retry_tokens["stock"] - by_time >= 0.9 * earned
     assert by_time < 0.5 * earned
+
+
+def test_a_hold_that_a_server_has_lost_is_granted_again_at_once(deployment):
+    """Guards against requests for a key that its server refuses until a renewal."""
+    owner = deployment.holder(KEY)
+    server = deployment.servers[owner]
+    for _ in range(REQUESTS_THAT_EARN_A_RETRY):
+        deployment.send_request(owner)
+    for _ in range(LOST_HOLDS):
+        server.held = []
+        before = server.misdirected
+        answers = [deployment.send_request(owner) for _ in range(5)]
+        assert server.misdirected - before <= 1
+        assert [answer.status for answer in answers] == [200] * 5
+        gevent.sleep(BETWEEN_LOSSES_S)
