Take the state of a newer era of the log for newer, whatever its lineage

Callers: a node that keeps its state never follows the log again, and owns nothing.

Cause: states were compared by their lineage first, which each node counts on its own. A new era comes before it.

--- a/comfreywharf/records/replica.py
+++ b/comfreywharf/records/replica.py
@@ -11,6 +11,7 @@
 from comfreywharf.records.codec import decode_record
 from comfreywharf.records.fold import FoldResult, fold
 from comfreywharf.records.messages import Record, UnknownRecord
+from comfreywharf.records.positions import era_of
 from comfreywharf.records.recent import RecentRecords
 from comfreywharf.records.state import ClusterState
 
@@ -83,10 +84,7 @@
 
     def load(self, state):
         """Load a snapshot's state if it is newer; return whether it was."""
-        if state.lineage < self.state.lineage:
-            return False
-        newer = state.lineage > self.state.lineage
-        if not newer and state.next_offset <= self.state.next_offset:
+        if _age_order(state) <= _age_order(self.state):
             return False
         self.state.replace_by(state)
         # What a peer was sent before would not lead it to this state.
@@ -131,3 +129,12 @@
         if self.recent.next != self.state.next_offset:
             return None
         return self.recent.since(next_offset, max_bytes)
+
+
+def _age_order(state):
+    """Return what orders states by their age.
+
+    A new era's state comes before the lineage: the node that wrote it down may have
+    missed restarts of earlier eras, which others count in theirs.
+    """
+    return era_of(state.next_offset), state.lineage, state.next_offset
