--- a/comfreywharf/daemon/tests/test_restored_log.py
+++ b/comfreywharf/daemon/tests/test_restored_log.py
@@ -305,6 +305,26 @@
     assert all(follower.in_newest_era for follower in cluster.followers.values())
 
 
+def test_an_outdated_snapshot_doesnt_replace_the_state_that_continues():
+    """Guards against two states that continue in one era of the log.
+
+    A planner that hasn't heard of the new era writes its snapshot over the state with
+    which another node has continued.
+    """
+    cluster = Cluster(seed=0)
+    cluster.settle()
+    cluster.append("a")
+    cluster.append("a")
+    cluster.log.go_back(0, 0)
+    cluster.read("a")
+    cluster.write_snapshot("b")
+    cluster.settle()
+    positions = {f.state.next_offset for f in cluster.followers.values()}
+    assert len(positions) == 1
+    assert not cluster.disagreements()
+    assert not cluster.refused
+
+
 def test_an_owner_by_a_lost_record_doesnt_keep_the_next_one_from_its_key():
     """Guards against a fence that falls as one node knew more than the one that writes.
 
