--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -58,9 +58,9 @@
 STALE_AFTER_S = 10.0
 """The store is unavailable for up to 9 s; witnesses keep granting for that long."""
 
-RETRY_SHARE = 0.7
-"""The fraction of the platform's bound on retries that a node uses. The platform also
-counts calls that a repeated run makes to other services, which aren't counted here."""
+RETRY_SHARE = 0.9
+"""The part of the platform's fraction of retries that nodes use. The rest is for requests
+that wait before they reach a server, and so fall into a later window."""
 
 RESENDS = 2
 """Servers refuse up to 55 in 100 requests for seconds, at any load. With two more
@@ -104,7 +104,7 @@
             total_hold_s=0.3,
             retry_after_ms=250,
             retry_burst=BurstTerms(
-                fleet_retries=RETRY_SHARE * settings.extra_retries,
+                fleet_retries=settings.extra_retries,
                 window_s=settings.retry_window_s,
             ),
             resends=RESENDS,
--- a/comfreywharf/routing/budget.py
+++ b/comfreywharf/routing/budget.py
@@ -11,6 +11,10 @@
 
 __all__ = ["BurstTerms", "Retry", "RetryBudget", "RetryBudgets"]
 
+SAVED_PART = 0.9
+"""The part of a node's retries that it may save up. It earns the rest as time passes,
+for services that only other backend servers call, whose requests earn nothing."""
+
 MIN_BURST = 1.0
 """With less than one token, a node could never send a retry."""
 
@@ -22,12 +26,11 @@
 class BurstTerms:
     """The retries of a service that need no requests, in any ``window_s``.
 
-    All nodes together send up to ``fleet_retries`` of them. A node saves up half of its
-    part, and earns the other half as time passes.
+    All nodes together send up to ``fleet_retries`` of them.
 
-    >>> terms = BurstTerms(fleet_retries=60, window_s=10)
-    >>> terms.burst(nodes=12), terms.earned_per_s(nodes=12)
-    (2.5, 0.25)
+    >>> terms = BurstTerms(fleet_retries=100, window_s=10)
+    >>> terms.burst(nodes=10), round(terms.earned_per_s(nodes=10), 3)
+    (9.0, 0.1)
     """
 
     fleet_retries: float
@@ -35,14 +38,14 @@
 
     def burst(self, nodes):
         """Return how many retries one of the nodes may save up, at least one."""
-        return max(MIN_BURST, self._half(nodes))
+        return max(MIN_BURST, SAVED_PART * self._part(nodes))
 
     def earned_per_s(self, nodes):
         """Return how many retries one of the nodes earns per second."""
-        return self._half(nodes) / self.window_s
+        return (1 - SAVED_PART) * self._part(nodes) / self.window_s
 
-    def _half(self, nodes):
-        return self.fleet_retries / max(1, nodes) / 2
+    def _part(self, nodes):
+        return self.fleet_retries / max(1, nodes)
 
 
 class RetryBudget:
@@ -55,7 +58,7 @@
     ...     budget.earn(0.1)
     >>> budget.take(), budget.take()
     (True, False)
-    >>> budget.update(nodes=1, now_s=2.0)
+    >>> budget.update(nodes=1, now_s=10.0)
     >>> round(budget.tokens, 3)
     1.0
     """
