--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -59,8 +59,8 @@
 """The store is unavailable for up to 9 s; witnesses keep granting for that long."""
 
 RETRY_SHARE = 0.9
-"""The part of the platform's fraction of retries that nodes use. The rest is for requests
-that wait before they reach a server, and so fall into a later window."""
+"""The part of the platform's fraction of retries that nodes use. The rest is for
+requests that wait before they reach a server, and so fall into a later window."""
 
 RESENDS = 2
 """Servers refuse up to 55 in 100 requests for seconds, at any load. With two more
