Tell nothing of a server's calls before they are known; name the facts of a step

A node that has just started told that runs make no calls, which replaced what others had told. Decisions.next_step takes its facts by name.

--- a/comfreywharf/daemon/operating/decisions.py
+++ b/comfreywharf/daemon/operating/decisions.py
@@ -81,10 +81,13 @@
         facts |= self._routes_view(now_s)
         self._log.add(now_s, request_id, "turned_away", **facts)
 
-    def next_step(self, call, decision, reply, target, ownership, retries):
+    def next_step(
+        self, call, decision, reply, *, target, ownership, is_retry, retries_left
+    ):
         """Log the next step of a request after a refusal: its target, or none.
 
-        ``retries`` tells whether the step counts as a retry, and how many are left.
+        ``is_retry`` is whether the step counts as a retry, and ``retries_left`` how
+        many the service has left at this node.
         """
         if not self.enabled:
             return
@@ -92,8 +95,8 @@
         facts = {"after": reply.reason, "asked": call.target, "next": target}
         facts["reached"] = may_have_reached_backend(reply)
         facts["arrivals"] = call.arrivals
-        facts["counted"] = retries["counted"]
-        facts["tokens"] = round(retries["tokens"], 2)
+        facts["counted"] = is_retry
+        facts["tokens"] = round(retries_left, 2)
         if ownership is not None:
             facts["owner"] = ownership.owner
             facts["standby"] = ownership.standby
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -170,9 +170,15 @@
         kind = {GiveUp: "given_up", Hold: "held"}.get(type(step), "sent_again")
         target = "" if isinstance(step, GiveUp) else step.progress.target
         ownership = self._ownership(call.request) if call.request.key else None
-        tokens = self.retries.tokens[call.service.name]
-        retries = {"counted": step.retry, "tokens": tokens}
-        self._node.decisions.next_step(call, kind, reply, target, ownership, retries)
+        self._node.decisions.next_step(
+            call,
+            kind,
+            reply,
+            target=target,
+            ownership=ownership,
+            is_retry=step.retry,
+            retries_left=self.retries.tokens[call.service.name],
+        )
 
     def _decide(self, call, progress, reply, tried):
         ownership, other_member = None, ""
--- a/comfreywharf/load/nested.py
+++ b/comfreywharf/load/nested.py
@@ -71,10 +71,10 @@
         self._calls[service] = self._calls.get(service, 0.0) + 1
 
     def calls_per_run(self, now_s):
-        """Return the calls per run, by service; empty if they aren't known."""
+        """Return the calls per run, by service; ``None`` if they aren't known."""
         self._age(now_s)
         if self._runs < MIN_RUNS:
-            return {}
+            return None
         means = {name: calls / self._runs for name, calls in self._calls.items()}
         return {name: mean for name, mean in means.items() if mean >= MIN_CALLS_PER_RUN}
 
--- a/comfreywharf/load/tests/test_nested.py
+++ b/comfreywharf/load/tests/test_nested.py
@@ -39,7 +39,7 @@
     nested.record_call("stock", 0.0)
     for _ in range(MIN_RUNS - 1):
         nested.record_run(0.0)
-    assert nested.calls_per_run(0.0) == {}
+    assert nested.calls_per_run(0.0) is None
 
 
 def test_a_server_never_calls_its_own_service():
