--- a/comfreywharf/daemon/records/follower.py
+++ b/comfreywharf/daemon/records/follower.py
@@ -216,8 +216,8 @@
         return self._appender.append(record, timeout_s)
 
     def append_part(self, data):
-        """Append a part of a snapshot to the stream of snapshots."""
-        self._appender.append_part(self._snapshot_stream, data)
+        """Append a part of a snapshot to the stream of snapshots; return its position."""
+        return self._appender.append_part(self._snapshot_stream, data)
 
     def kept_snapshot_position(self):
         """Return the position of the newest snapshot of a log that keeps it.
--- a/comfreywharf/daemon/records/snapshots.py
+++ b/comfreywharf/daemon/records/snapshots.py
@@ -176,9 +176,8 @@
         if not self._follower.replace_kept_snapshot(parts[0], position):
             return
         for data in parts[1:]:
-            self._follower.append_part(data)
-        if len(parts) == 1:
-            self._kept_position = position + 1
+            position = self._follower.append_part(data)
+        self._kept_position = position + 1
         self._written_offset = offset
 
     def _write(self):
