--- a/comfreywharf/daemon/records/follower.py
+++ b/comfreywharf/daemon/records/follower.py
@@ -216,7 +216,7 @@
         return self._appender.append(record, timeout_s)
 
     def append_part(self, data):
-        """Append a part of a snapshot to the stream of snapshots; return its position."""
+        """Append a part of a snapshot to its stream; return the position."""
         return self._appender.append_part(self._snapshot_stream, data)
 
     def kept_snapshot_position(self):
