--- a/comfreywharf/platform/tests/fleets.py
+++ b/comfreywharf/platform/tests/fleets.py
@@ -62,7 +62,7 @@
 
     The owner's server answers as ``server`` says: a `Reason` with which it refuses all
     requests, or ``None`` if it runs them. Of these it gets only the next
-    ``misdirects``, unless that is ``None``; the node beside it refuses the others.
+    ``arrivals_left``, unless that is ``None``; the node beside it refuses the others.
 
     With ``runs_second_arrivals`` it runs each request that arrives a second time.
     ``repeated_runs`` counts those, each of which makes ``calls`` calls to the service
@@ -72,7 +72,7 @@
     def __init__(self, path, size):
         path.mkdir(exist_ok=True)
         self.server = None
-        self.misdirects = None
+        self.arrivals_left = None
         self.runs_second_arrivals = False
         self.repeated_runs = 0
         self.calls = 0.0
@@ -100,10 +100,10 @@
 
     def reply(self, target, request):
         """Return the reply of a node, and count the request if the server got it."""
-        if target != OWNER or self.misdirects == 0:
+        if target != OWNER or self.arrivals_left == 0:
             return refusal(Reason.WRONG_OWNER, owner_hint=OWNER)
-        if self.misdirects is not None:
-            self.misdirects -= 1
+        if self.arrivals_left is not None:
+            self.arrivals_left -= 1
         by_id = self.arrivals.by_id
         by_id[request.request_id] = by_id.get(request.request_id, 0) + 1
         second = by_id[request.request_id] > 1
--- a/comfreywharf/platform/tests/test_arrivals.py
+++ b/comfreywharf/platform/tests/test_arrivals.py
@@ -41,7 +41,7 @@
     fleet.send(per_node=100)
     tokens = fleet.retry_tokens
     fleet.server = Reason.NOT_YET_OWNER
-    fleet.misdirects = 1
+    fleet.arrivals_left = 1
     (reply,) = fleet.send(per_node=1)
     assert reply.reason == Reason.WRONG_OWNER.value
     assert fleet.retry_tokens >= tokens > 1
