--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -238,6 +238,7 @@
      - sent_ms
      - max_wait_ms
      - leaving
+     - nested
 
     """
 
@@ -263,10 +264,11 @@
         'sent_ms',
         'max_wait_ms',
         'leaving',
+        'nested',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0, max_wait_ms=None, leaving=None,):
+    def __init__(self, request_id=None, service_name=None, key=None, method=None, path=None, headers=None, body=None, remaining_ms=None, ingress_node_id=None, retries_left=None, event_clock=None, first_sent_ago_ms=None, priority=None, repeatable=None, target_ms=None, fingerprint="", body_mark=0, body_bytes=-1, sent_ms=0, max_wait_ms=None, leaving=None, nested=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -288,6 +290,7 @@
         self.sent_ms = sent_ms
         self.max_wait_ms = max_wait_ms
         self.leaving = leaving
+        self.nested = nested
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -410,6 +413,11 @@
                     self.leaving.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.BOOL:
+                    self.nested = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,6 +515,10 @@
             oprot.writeFieldBegin('leaving', TType.STRUCT, 21)
             self.leaving.write(oprot)
             oprot.writeFieldEnd()
+        if self.nested is not None:
+            oprot.writeFieldBegin('nested', TType.BOOL, 22)
+            oprot.writeBool(self.nested)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -570,6 +582,216 @@
         return not (self == other)
 
 
+class ServerLoad(object):
+    """
+    Attributes:
+     - running
+     - waiting
+     - slots
+     - work_ms
+
+    """
+
+    __slots__ = (
+        'running',
+        'waiting',
+        'slots',
+        'work_ms',
+    )
+
+
+    def __init__(self, running=None, waiting=None, slots=None, work_ms=None,):
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.work_ms = work_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.work_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLoad')
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 1)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 2)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 3)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.work_ms is not None:
+            oprot.writeFieldBegin('work_ms', TType.I32, 4)
+            oprot.writeI32(self.work_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.running is None:
+            raise TProtocolException(message='Required field running is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.slots is None:
+            raise TProtocolException(message='Required field slots is unset!')
+        if self.work_ms is None:
+            raise TProtocolException(message='Required field work_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdmissionLevel(object):
+    """
+    Attributes:
+     - rank
+     - fraction
+     - valid_ms
+
+    """
+
+    __slots__ = (
+        'rank',
+        'fraction',
+        'valid_ms',
+    )
+
+
+    def __init__(self, rank=None, fraction=None, valid_ms=None,):
+        self.rank = rank
+        self.fraction = fraction
+        self.valid_ms = valid_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.fraction = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.valid_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmissionLevel')
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 1)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.fraction is not None:
+            oprot.writeFieldBegin('fraction', TType.DOUBLE, 2)
+            oprot.writeDouble(self.fraction)
+            oprot.writeFieldEnd()
+        if self.valid_ms is not None:
+            oprot.writeFieldBegin('valid_ms', TType.I32, 3)
+            oprot.writeI32(self.valid_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
+        if self.fraction is None:
+            raise TProtocolException(message='Required field fraction is unset!')
+        if self.valid_ms is None:
+            raise TProtocolException(message='Required field valid_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UploadOpened(object):
     """
     Attributes:
@@ -672,6 +894,8 @@
      - leaving
      - backend_reached
      - calls_per_run
+     - load
+     - admission
 
     """
 
@@ -691,10 +915,12 @@
         'leaving',
         'backend_reached',
         'calls_per_run',
+        'load',
+        'admission',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None, calls_per_run=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None, calls_per_run=None, load=None, admission=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -710,6 +936,8 @@
         self.leaving = leaving
         self.backend_reached = backend_reached
         self.calls_per_run = calls_per_run
+        self.load = load
+        self.admission = admission
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -808,6 +1036,18 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.load = ServerLoad()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.admission = AdmissionLevel()
+                    self.admission.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -885,6 +1125,14 @@
                 oprot.writeDouble(viter22)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 16)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
+        if self.admission is not None:
+            oprot.writeFieldBegin('admission', TType.STRUCT, 17)
+            self.admission.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2706,6 +2954,7 @@
      - slice_epoch
      - requests_per_s
      - busy_fraction
+     - slots_needed
 
     """
 
@@ -2715,15 +2964,17 @@
         'slice_epoch',
         'requests_per_s',
         'busy_fraction',
+        'slots_needed',
     )
 
 
-    def __init__(self, service_name=None, slice_start=None, slice_epoch=None, requests_per_s=None, busy_fraction=None,):
+    def __init__(self, service_name=None, slice_start=None, slice_epoch=None, requests_per_s=None, busy_fraction=None, slots_needed=None,):
         self.service_name = service_name
         self.slice_start = slice_start
         self.slice_epoch = slice_epoch
         self.requests_per_s = requests_per_s
         self.busy_fraction = busy_fraction
+        self.slots_needed = slots_needed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2759,6 +3010,11 @@
                     self.busy_fraction = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.slots_needed = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2789,6 +3045,10 @@
             oprot.writeFieldBegin('busy_fraction', TType.DOUBLE, 5)
             oprot.writeDouble(self.busy_fraction)
             oprot.writeFieldEnd()
+        if self.slots_needed is not None:
+            oprot.writeFieldBegin('slots_needed', TType.DOUBLE, 6)
+            oprot.writeDouble(self.slots_needed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2922,6 +3182,104 @@
         return not (self == other)
 
 
+class KindTime(object):
+    """
+    Attributes:
+     - priority
+     - repeatable
+     - typical_ms
+
+    """
+
+    __slots__ = (
+        'priority',
+        'repeatable',
+        'typical_ms',
+    )
+
+
+    def __init__(self, priority=None, repeatable=None, typical_ms=None,):
+        self.priority = priority
+        self.repeatable = repeatable
+        self.typical_ms = typical_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.repeatable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.typical_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KindTime')
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 1)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.repeatable is not None:
+            oprot.writeFieldBegin('repeatable', TType.BOOL, 2)
+            oprot.writeBool(self.repeatable)
+            oprot.writeFieldEnd()
+        if self.typical_ms is not None:
+            oprot.writeFieldBegin('typical_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.typical_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.repeatable is None:
+            raise TProtocolException(message='Required field repeatable is unset!')
+        if self.typical_ms is None:
+            raise TProtocolException(message='Required field typical_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -2936,6 +3294,7 @@
      - service_ms
      - cold_requests_per_s
      - limit_per_s
+     - kind_times
 
     """
 
@@ -2951,10 +3310,11 @@
         'service_ms',
         'cold_requests_per_s',
         'limit_per_s',
+        'kind_times',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, slices=None, hot_keys=None, busy_fraction=None, backend_up=None, lease_held=None, event_clock=None, service_ms=None, cold_requests_per_s=None, limit_per_s=None,):
+    def __init__(self, node_id=None, incarnation=None, slices=None, hot_keys=None, busy_fraction=None, backend_up=None, lease_held=None, event_clock=None, service_ms=None, cold_requests_per_s=None, limit_per_s=None, kind_times=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.slices = slices
@@ -2966,6 +3326,7 @@
         self.service_ms = service_ms
         self.cold_requests_per_s = cold_requests_per_s
         self.limit_per_s = limit_per_s
+        self.kind_times = kind_times
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3043,6 +3404,17 @@
                     self.limit_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.kind_times = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = KindTime()
+                        _elem75.read(iprot)
+                        self.kind_times.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3064,15 +3436,15 @@
         if self.slices is not None:
             oprot.writeFieldBegin('slices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.slices))
-            for iter70 in self.slices:
-                iter70.write(oprot)
+            for iter76 in self.slices:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter71 in self.hot_keys:
-                iter71.write(oprot)
+            for iter77 in self.hot_keys:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy_fraction is not None:
@@ -3103,6 +3475,13 @@
             oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 11)
             oprot.writeDouble(self.limit_per_s)
             oprot.writeFieldEnd()
+        if self.kind_times is not None:
+            oprot.writeFieldBegin('kind_times', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.kind_times))
+            for iter78 in self.kind_times:
+                iter78.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3279,6 +3658,22 @@
     (19, TType.I64, 'sent_ms', None, 0, ),  # 19
     (20, TType.I32, 'max_wait_ms', None, None, ),  # 20
     (21, TType.STRUCT, 'leaving', [LeavingServer, None], None, ),  # 21
+    (22, TType.BOOL, 'nested', None, None, ),  # 22
+)
+all_structs.append(ServerLoad)
+ServerLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'running', None, None, ),  # 1
+    (2, TType.I32, 'waiting', None, None, ),  # 2
+    (3, TType.I32, 'slots', None, None, ),  # 3
+    (4, TType.I32, 'work_ms', None, None, ),  # 4
+)
+all_structs.append(AdmissionLevel)
+AdmissionLevel.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'rank', None, None, ),  # 1
+    (2, TType.DOUBLE, 'fraction', None, None, ),  # 2
+    (3, TType.I32, 'valid_ms', None, None, ),  # 3
 )
 all_structs.append(UploadOpened)
 UploadOpened.thrift_spec = (
@@ -3304,6 +3699,8 @@
     (13, TType.STRUCT, 'leaving', [LeavingServer, None], None, ),  # 13
     (14, TType.BOOL, 'backend_reached', None, None, ),  # 14
     (15, TType.MAP, 'calls_per_run', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 15
+    (16, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 16
+    (17, TType.STRUCT, 'admission', [AdmissionLevel, None], None, ),  # 17
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -3437,6 +3834,7 @@
     (3, TType.I64, 'slice_epoch', None, None, ),  # 3
     (4, TType.DOUBLE, 'requests_per_s', None, None, ),  # 4
     (5, TType.DOUBLE, 'busy_fraction', None, None, ),  # 5
+    (6, TType.DOUBLE, 'slots_needed', None, None, ),  # 6
 )
 all_structs.append(HotKey)
 HotKey.thrift_spec = (
@@ -3445,6 +3843,13 @@
     (2, TType.I64, 'key_hash', None, None, ),  # 2
     (3, TType.DOUBLE, 'requests_per_s', None, None, ),  # 3
 )
+all_structs.append(KindTime)
+KindTime.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'priority', None, None, ),  # 1
+    (2, TType.BOOL, 'repeatable', None, None, ),  # 2
+    (3, TType.DOUBLE, 'typical_ms', None, None, ),  # 3
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -3459,6 +3864,7 @@
     (9, TType.DOUBLE, 'service_ms', None, None, ),  # 9
     (10, TType.DOUBLE, 'cold_requests_per_s', None, None, ),  # 10
     (11, TType.DOUBLE, 'limit_per_s', None, None, ),  # 11
+    (12, TType.LIST, 'kind_times', (TType.STRUCT, [KindTime, None], False), None, ),  # 12
 )
 all_structs.append(LoadReportReply)
 LoadReportReply.thrift_spec = (
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -50,7 +50,24 @@
   // By the sender's clock; the receiver compares it only with earlier values:
   19: required i64 sent_ms = 0,        // 0: unknown
   20: optional i32 max_wait_ms,        // refuse it if it would wait longer for a slot
-  21: optional LeavingServer leaving   // the receiver's server, as the sender knows it
+  21: optional LeavingServer leaving,  // the receiver's server, as the sender knows it
+  22: optional bool nested             // a call that a server makes while it runs a request
+}
+
+// The load of the sender's server, which includes what its node has admitted or queued.
+struct ServerLoad {
+  1: required i32 running,
+  2: required i32 waiting,
+  3: required i32 slots,
+  4: required i32 work_ms              // typical service time at this moment; 0: unknown
+}
+
+// What the sender's server admits while it is overloaded. More urgent ranks are admitted
+// whole, less urgent ones not at all.
+struct AdmissionLevel {
+  1: required i32 rank,                // the least urgent rank that is admitted
+  2: required double fraction,         // of that rank's requests, from 0 to 1
+  3: required i32 valid_ms
 }
 
 struct UploadOpened {
@@ -74,7 +91,9 @@
   13: optional LeavingServer leaving,  // the sender's server, if it leaves
   14: optional bool backend_reached,   // whether a refused request was sent to the server
   // With a refusal of the server: the calls to each service that one of its runs makes.
-  15: optional map<string, double> calls_per_run
+  15: optional map<string, double> calls_per_run,
+  16: optional ServerLoad load,        // for services that aren't divided by key
+  17: optional AdmissionLevel admission // unset: the server isn't overloaded
 }
 
 struct BodyChunk {
@@ -207,7 +226,8 @@
   2: required i64 slice_start,
   3: required i64 slice_epoch,
   4: required double requests_per_s,
-  5: required double busy_fraction
+  5: required double busy_fraction,
+  6: optional double slots_needed      // the slot time per second that the requests need
 }
 
 struct HotKey {
@@ -216,6 +236,13 @@
   3: required double requests_per_s
 }
 
+// The typical service time of one kind of request at the sender's server.
+struct KindTime {
+  1: required i32 priority,
+  2: required bool repeatable,
+  3: required double typical_ms
+}
+
 // From each node to the planner, which assigns the slices.
 struct LoadReport {
   1: required string node_id,
@@ -228,7 +255,8 @@
   8: required i64 event_clock,
   9: required double service_ms,       // mean time per request at the server; 0: unknown
   10: optional double cold_requests_per_s, // what the server bears; unset: it is warm
-  11: optional double limit_per_s      // what the server takes; unset: it names no limit
+  11: optional double limit_per_s,     // what the server takes; unset: it names no limit
+  12: optional list<KindTime> kind_times
 }
 
 struct LoadReportReply {
