Give nested calls the rank of their run, and no target of their own

Ruled out: targets that had passed when the call arrived (2 of 48 refusals), retries.

The node beside the calling server learns which routes carry only its server's calls, gives a call the rank of the least urgent run that may have made it, and marks it. At the owner a marked call goes before new requests of its rank and is never marked late. A request's `number`, its route and how long its caller waits are carried for that; the test builder names the number.

--- a/comfreywharf/daemon/requests/admission.py
+++ b/comfreywharf/daemon/requests/admission.py
@@ -164,7 +164,10 @@
 
 
 def _ticket(request, flow, deadline_s, alone, now_s):
-    target_s = now_s + request.target_ms / 1000 if request.target_ms else None
+    # What counts for a nested call is the target of the request that it is made for.
+    # Marked late for its own target, it would wait behind all less urgent requests.
+    has_target = request.target_ms and not request.nested
+    target_s = now_s + request.target_ms / 1000 if has_target else None
     max_wait_ms = request.max_wait_ms
     ticket = Ticket(
         flow=flow,
@@ -175,8 +178,9 @@
         kind=work_kind(request),
         target_s=target_s,
         max_wait_s=None if max_wait_ms is None else max_wait_ms / 1000,
+        nested=bool(request.nested),
     )
-    if request.target_ms == TARGET_PASSED_MS:
+    if has_target and request.target_ms == TARGET_PASSED_MS:
         # The request was refused before, and its latency target has passed. It gets
         # only slots that other requests leave unused, so that it delays none of them.
         ticket.mark_late()
--- a/comfreywharf/daemon/requests/caller_requests.py
+++ b/comfreywharf/daemon/requests/caller_requests.py
@@ -51,12 +51,16 @@
     """The message to the owner without its body, and the requested service.
 
     ``may_be_nested`` is whether it may be a call that the backend server beside this
-    node makes while it runs another request.
+    node makes while it runs another request. ``route`` is the name of its route, and
+    ``caller_waits_ms`` how long the caller waits for the answer, which may be longer
+    than the route allows.
     """
 
     request: ForwardRequest
     service: ServiceConfig
     may_be_nested: bool = False
+    route: str = ""
+    caller_waits_ms: int = 0
 
 
 def parse_request(environ, services) -> Result[CallerRequest, Reason]:
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -121,6 +121,10 @@
         """Return how many requests are at the backend server."""
         return len(self._running)
 
+    def runs(self):
+        """Return the `Run` of each request at the backend server."""
+        return self._running.runs()
+
     def cancel(self, service, key_hash, request_id):
         """Cancel a request whose caller disconnected, if it still runs."""
         self._running.cancel(RequestKey(service, key_hash, request_id))
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -17,6 +17,7 @@
 from comfreywharf.daemon.requests.caller_requests import parse_request
 from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
 from comfreywharf.daemon.requests.dispatch import AnswerTruncated
+from comfreywharf.daemon.requests.nested_calls import NestedCallMarker
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.routing import Outcome, Reason
 from comfreywharf.transport.arrivals import unread_s
@@ -47,6 +48,7 @@
         self._node = node
         self._dispatcher = dispatcher
         self.watch = CallerWatch(dispatcher.cancel)
+        self._nested_calls = NestedCallMarker(node, node.forwarder.runs)
         self._streaming = 0
 
     @property
@@ -100,6 +102,7 @@
         body is in the reply.
         """
         call = self._create_call(parsed, sock, now_s)
+        possible_runs = self._nested_calls.mark(call)
         self.watch.enter(call)
         try:
             refused = self._read_body(source, call)
@@ -113,6 +116,7 @@
             reply, body_stream = refusal(Reason.INTERNAL), None
         finally:
             self.watch.leave(call)
+        self._nested_calls.observe_end(call, possible_runs)
         self._node.meter.request_ended(call, reply)
         self._node.decisions.request_ended(call, reply, boottime_s())
         if body_stream is None:
@@ -139,6 +143,8 @@
             request=request,
             service=parsed.service,
             may_be_nested=parsed.may_be_nested,
+            route=parsed.route,
+            expires_s=arrived_s + parsed.caller_waits_ms / 1000,
             body=b"",
             sock=sock,
             began_s=now_s,
--- a/comfreywharf/daemon/requests/running.py
+++ b/comfreywharf/daemon/requests/running.py
@@ -11,6 +11,7 @@
 import gevent
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.load.callroutes import Run
 from comfreywharf.routing import RequestKey
 
 __all__ = ["RunningRequest", "RunningRequests"]
@@ -25,12 +26,13 @@
 class RunningRequest:
     """One request at the backend server.
 
-    ``sent`` is whether any of it may have been sent there. ``abort`` is a function that
-    interrupts the current wait of the request, or ``None``; it is replaced as the
-    request proceeds.
+    ``number`` identifies it on this node. ``sent`` is whether any of it may have been
+    sent to the server. ``abort`` is a function that interrupts the current wait of the
+    request, or ``None``; it is replaced as the request proceeds.
     """
 
-    def __init__(self, key, attempt_id, right, deadline_s):
+    def __init__(self, number, key, attempt_id, right, deadline_s):
+        self.number = number
         self.key = key
         self.attempt_id = attempt_id
         self.right = right
@@ -74,10 +76,18 @@
         number = next(self._numbers)
         attempt_id = f"{settings.node_id}.{self._node.incarnation:x}.{number:x}"
         key = RequestKey(request.service_name, right.key_hash, request.request_id)
-        running = RunningRequest(key, attempt_id, right, deadline_s)
+        running = RunningRequest(number, key, attempt_id, right, deadline_s)
         self._by_key[key] = running
         return running
 
+    def runs(self):
+        """Return the `Run` of each request that was sent to the backend server."""
+        return [
+            Run(running.number, running.slot.ticket.rank, running.deadline_s)
+            for running in self._by_key.values()
+            if running.sent
+        ]
+
     def cancel(self, key):
         """Cancel a request, if it still runs."""
         running = self._by_key.get(key)
--- a/comfreywharf/daemon/tests/builders.py
+++ b/comfreywharf/daemon/tests/builders.py
@@ -133,7 +133,7 @@
     """Return a `RunningRequest`, as the forwarder keeps it for a request."""
     deadline_s = boottime_s() + timeout_s
     key = RequestKey("booking", 1, request_id)
-    return RunningRequest(key, "attempt", Right(deadline_s=deadline_s), deadline_s)
+    return RunningRequest(1, key, "attempt", Right(deadline_s=deadline_s), deadline_s)
 
 
 def forward_request(method="GET", path="/look"):
--- a/comfreywharf/load/fairqueue.py
+++ b/comfreywharf/load/fairqueue.py
@@ -16,6 +16,10 @@
 LATE_RANK = 100
 """Added to the rank of a late request, so that it waits behind all others."""
 
+NESTED_LEAD = 0.5
+"""Subtracted from the rank of a nested call, so that it waits before new requests of
+its rank and behind those of a more urgent one. Its run holds a slot meanwhile."""
+
 
 @attrs.define(eq=False, kw_only=True)
 class Ticket:
@@ -26,7 +30,8 @@
     and runs beside no other. ``rank`` 0 is the most urgent. Requests of one
     ``kind`` take about the same time. After ``target_s``, the latency target, an
     answer is worth less; ``None`` means that there is no target. A request that would
-    wait longer than ``max_wait_s`` is refused: another server may be free.
+    wait longer than ``max_wait_s`` is refused: another server may be free. A ``nested``
+    request is a call that a backend server makes while it runs another request.
     """
 
     flow: object
@@ -39,11 +44,13 @@
     max_wait_s: float | None = None
     started_s: float | None = None
     late: bool = False
+    nested: bool = False
 
     @property
     def effective_rank(self):
         """Return the rank in the queue; late requests rank behind all others."""
-        return self.rank + LATE_RANK if self.late else self.rank
+        rank = self.rank - NESTED_LEAD if self.nested else self.rank
+        return rank + LATE_RANK if self.late else rank
 
     def mark_late(self):
         """Mark as late: it waits behind all requests that can meet their target."""
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -56,6 +56,13 @@
             "retries",
             "Requests that weren't sent again since the service had no retries left",
         ),
+        _family(
+            "nested_calls_total",
+            _COUNTER,
+            "service rank",
+            "queue",
+            "Calls of this node's backend server, by the rank that they were sent with",
+        ),
         _family(
             "retry_tokens",
             _GAUGE,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -76,6 +76,7 @@
         self.damaged_limits = 0
         self.repeated_sends = defaultdict(int)
         self.refused_retries = defaultdict(int)
+        self.nested_calls = defaultdict(int)
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -101,6 +102,10 @@
         """
         self.repeated_sends[service, reason] += 1
 
+    def nested_call(self, service, rank):
+        """Count a call of the backend server beside this node, by its rank."""
+        self.nested_calls[service, rank] += 1
+
     def retry_refused(self, service):
         """Count a request that isn't sent again, for want of a retry of its service."""
         self.refused_retries[service] += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -64,6 +64,10 @@
         "requests_total": metrics.requests,
         "repeated_sends_total": metrics.repeated_sends,
         "refused_retries_total": _with_one_label(metrics.refused_retries),
+        "nested_calls_total": {
+            (service, str(rank)): count
+            for (service, rank), count in metrics.nested_calls.items()
+        },
         "retry_tokens": _with_one_label(gauges.retry_tokens),
         "request_duration_seconds": _with_one_label(metrics.durations),
         "stage_duration_seconds": metrics.stages,
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -45,6 +45,7 @@
     metrics.backend_request_sent(service)
     metrics.request_sent_again(service, "not-yet-owner")
     metrics.retry_refused(service)
+    metrics.nested_call(service, 0)
     metrics.loop_woke(0.003)
     metrics.event_reported("lease_lapsed", "warning")
     metrics.unknown_name_read("heartbeat")
