Relay the log's records into each failure domain once

Relays were ranked by a hash alone, so that two in three nodes received the records from another failure domain. The first member of each domain by rank now receives from the first members of other domains, and all other members receive within their domain; if their two relays there aren't usable, they receive from the head of another domain. Members still receive from lower ranks only, which excludes cycles, also with nodes of the previous build. With one domain the order is unchanged.

A record passes at most three relays in each.

The tests of the order now name a failure domain, as the new argument requires; what they check is unchanged.

--- a/comfreywharf/daemon/membership/relay_client.py
+++ b/comfreywharf/daemon/membership/relay_client.py
@@ -23,6 +23,7 @@
         self._node = node
         self._relays = Relays(
             node.settings.node_id,
+            node.settings.failure_domain,
             max_age_s=read_wait_s + MAX_AGE_MARGIN_S,
             max_routes_age_s=max_relayed_age_s(node.ports.routes_apply_s),
         )
@@ -33,11 +34,10 @@
         Otherwise the caller reads the log before another relay is polled: the
         time-outs of two relays in a row would use up the time that a change may take.
         """
-        members = self._node.follower.state.members
-        relay_id = self._relays.choose(members, boottime_s())
-        return bool(relay_id) and self._poll_relay(relay_id, members)
+        relay_id = self._relays.choose(self._domains(), boottime_s())
+        return bool(relay_id) and self._poll_relay(relay_id)
 
-    def _poll_relay(self, relay_id, members):
+    def _poll_relay(self, relay_id):
         client = self._node.peers.client(relay_id)
         if client is None:
             return self._avoid(relay_id, "no address")
@@ -47,11 +47,15 @@
             return self._avoid(relay_id, str(error))
         if age is None:
             return self._avoid(relay_id, "lacks records")
-        if not self._relays.is_fresh(members, relay_id, age):
+        if not self._relays.is_fresh(self._domains(), relay_id, age):
             ages = f"records {age.records_s:.3f} s old, routes {age.routes_s:.3f} s"
             return self._avoid(relay_id, ages)
         return True
 
+    def _domains(self):
+        members = self._node.follower.state.members
+        return {node_id: member.failure_domain for node_id, member in members.items()}
+
     def _avoid(self, relay_id, why):
         self._relays.record_failure(relay_id, boottime_s())
         self._node.report("relay_avoided", relay=relay_id, why=why)
--- a/comfreywharf/daemon/tests/test_record_packing.py
+++ b/comfreywharf/daemon/tests/test_record_packing.py
@@ -11,7 +11,7 @@
     pack_records,
     unpack_records,
 )
-from comfreywharf.membership.relays import FANOUT
+from comfreywharf.membership.relay_tree import FANOUT
 from comfreywharf.records import SliceMove, SlicesMoved, encode_record
 
 SLOW_LINK_BYTES_PER_S = 625_000
--- a/comfreywharf/membership/tests/test_relays.py
+++ b/comfreywharf/membership/tests/test_relays.py
@@ -3,18 +3,25 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from comfreywharf.membership.relays import FANOUT, RelayedAge, Relays
+from comfreywharf.membership.relay_tree import FANOUT
+from comfreywharf.membership.relays import RelayedAge, Relays
 from comfreywharf.routes import max_relayed_age_s
 
 NAMES = st.sets(st.integers(0, 2000), min_size=1, max_size=700).map(
     lambda numbers: [f"node-{number}" for number in numbers]
 )
+DOMAIN = "teika"
 MAX_AGE_S = 1.5
 NOW_S = 50.0
 
 
+def in_one_domain(members):
+    return dict.fromkeys(members, DOMAIN)
+
+
 def relay_of(node_id, members):
-    return Relays(node_id, MAX_AGE_S).choose(members, NOW_S)
+    relays = Relays(node_id, DOMAIN, MAX_AGE_S)
+    return relays.choose(in_one_domain(members), NOW_S)
 
 
 @given(NAMES)
@@ -37,10 +44,10 @@
     If relays are lost and nodes may choose members of any rank, two nodes can
     choose each other.
     """
-    relays = {}
+    relays, domains = {}, in_one_domain(members)
     for name in members:
-        own = Relays(name, MAX_AGE_S)
-        while (chosen := own.choose(members, NOW_S)) and rng.random() < 0.5:
+        own = Relays(name, DOMAIN, MAX_AGE_S)
+        while (chosen := own.choose(domains, NOW_S)) and rng.random() < 0.5:
             own.record_failure(chosen, NOW_S)
         relays[name] = chosen
     for name in members:
@@ -91,10 +98,10 @@
 
 def test_a_failed_relay_is_not_queried_for_a_while():
     """Each query of a lost relay would cost its timeout."""
-    members = ["a", "b", "c", "d"]
+    members = in_one_domain(["a", "b", "c", "d"])
     order = sorted(members, key=lambda name: len(relay_of(name, members)))
     reader = next(name for name in members if not relay_of(name, members))
-    last = Relays(order[-1], MAX_AGE_S)
+    last = Relays(order[-1], DOMAIN, MAX_AGE_S)
     assert last.choose(members, NOW_S) == reader
     last.record_failure(reader, NOW_S)
     second = last.choose(members, NOW_S + 1)
@@ -111,18 +118,18 @@
     If the store refuses the only reader but serves all others, the reader keeps
     answering with data that gets older and older.
     """
-    members = ["a", "b"]
+    members = in_one_domain(["a", "b"])
     reader = next(name for name in members if not relay_of(name, members))
     age = RelayedAge(records_s=age_s, routes_s=0.0)
-    assert Relays("c", MAX_AGE_S).is_fresh(members, reader, age) is fresh
+    assert Relays("c", DOMAIN, MAX_AGE_S).is_fresh(members, reader, age) is fresh
 
 
 @pytest.mark.parametrize(("age_s", "fresh"), [(0.2, True), (1.7, True), (1.9, False)])
 def test_old_routes_of_a_relay_with_new_records_are_not_used(age_s, fresh):
     """Guard against a relay that is considered fresh by its records alone."""
-    members = ["a", "b"]
+    members = in_one_domain(["a", "b"])
     reader = next(name for name in members if not relay_of(name, members))
-    relays = Relays("c", MAX_AGE_S, max_relayed_age_s(apply_s=2.5))
+    relays = Relays("c", DOMAIN, MAX_AGE_S, max_relayed_age_s(apply_s=2.5))
     age = RelayedAge(records_s=0.0, routes_s=age_s)
     assert relays.is_fresh(members, reader, age) is fresh
 
--- a/comfreywharf/routes/tests/test_link_time.py
+++ b/comfreywharf/routes/tests/test_link_time.py
@@ -13,6 +13,7 @@
 from comfreywharf.routes.tests.builders import make_route, make_table
 
 NODES = tuple(f"node-{number}" for number in range(195))
+DOMAIN = "teika"
 LINK_BYTES_PER_S = 10e6 / 8
 STEP_S = 0.01
 APPLY_S = 0.1
@@ -27,7 +28,8 @@
     """Return the members that receive from each node; the root receives from ``""``."""
     members = {}
     for node_id in NODES:
-        relay_id = Relays(node_id, max_age_s=1.5).choose(NODES, 0.0)
+        relays = Relays(node_id, DOMAIN, max_age_s=1.5)
+        relay_id = relays.choose(dict.fromkeys(NODES, DOMAIN), 0.0)
         members.setdefault(relay_id, []).append(node_id)
     return members
 
