Exchange mostly within the own failure domain

Partners of exchanges were drawn from all members, so that five in six exchanges of 640 nodes in 6 domains crossed domains. Each fourth partner is now in another domain and the others are in the own one, by turns rather than at random, so that a node of a small domain hears from others in a bounded time. The first spare of a partner that doesn't answer is as near as that one, the second one isn't.

--- a/comfreywharf/daemon/membership/gossip.py
+++ b/comfreywharf/daemon/membership/gossip.py
@@ -16,7 +16,13 @@
 )
 from comfreywharf.daemon.records.snapshots import encode_yielding
 from comfreywharf.membership.evacuations import NO_VERSION
-from comfreywharf.membership.gossip import GossipInterval, choose_partners, push_count
+from comfreywharf.membership.gossip import (
+    SPARE_PARTNERS,
+    GossipInterval,
+    PartnerChooser,
+    choose_partners,
+    push_count,
+)
 from comfreywharf.membership.relays import RelayedAge
 from comfreywharf.records.snapshots import SnapshotAssembler
 from comfreywharf.routes import RouteTableError, UpdateForm
@@ -44,9 +50,6 @@
 PUSH_GAP_S = 0.05
 """Pause between two rounds of pushes, so that a burst of news is sent together."""
 
-SPARE_PARTNERS = 2
-"""Number of further peers that are tried if the first one doesn't answer."""
-
 MAX_REPLY_BYTES = 256 * 1024
 """Limit for the records in one reply; a node further behind repeats its request at
 once."""
@@ -65,6 +68,8 @@
 class Gossip:
     """Exchange news with random peers, at an interval and when there is news.
 
+    Most exchanges are with peers in the node's own failure domain.
+
     News are log records, routes and notices that a peer doesn't have yet. The peers
     are the members in the folded state. A node without any, for instance because it
     starts while the log is down, uses the seeds of its settings.
@@ -73,6 +78,7 @@
     def __init__(self, node, rng=None):
         self._node = node
         self._rng = rng or random.Random(node.settings.node_id)
+        self._partner_chooser = PartnerChooser(self._rng)
         self._exchange_interval = GossipInterval()
         self._push_due = Event()
         self._calls = Pool(MAX_CONCURRENT)
@@ -244,21 +250,31 @@
         self._exchange_with(push_count(len(self._node.follower.state.members)))
 
     def _exchange_with(self, count):
-        clients = self._partners(count + SPARE_PARTNERS)
+        clients = self._partners(count)
         for number in range(min(count, len(clients))):
             spares = clients[count:] if number == 0 else []
             self._calls.spawn(self._exchange_with_first, [clients[number], *spares])
 
     def _partners(self, count):
-        members = set(self._node.follower.state.members)
-        members.discard(self._node.settings.node_id)
-        if members:
-            chosen = choose_partners(members, count, self._rng)
+        """Return the clients of ``count`` peers, then those of spares."""
+        near, far = self._peers_by_distance()
+        if near or far:
+            chosen = self._partner_chooser.choose(near, far, count)
             clients = [self._node.peers.client(node_id) for node_id in chosen]
             return [client for client in clients if client is not None]
-        chosen = choose_partners(self._seeds, count, self._rng)
+        chosen = choose_partners(self._seeds, count + SPARE_PARTNERS, self._rng)
         return [self._seeds[address] for address in chosen]
 
+    def _peers_by_distance(self):
+        """Return the other members in the node's own failure domain, and the rest."""
+        settings = self._node.settings
+        near, far = [], []
+        for node_id, member in self._node.follower.state.members.items():
+            if node_id != settings.node_id:
+                is_near = member.failure_domain == settings.failure_domain
+                (near if is_near else far).append(node_id)
+        return near, far
+
     def _exchange_with_first(self, clients):
         """Exchange with the first peer that answers.
 
--- a/comfreywharf/membership/__init__.py
+++ b/comfreywharf/membership/__init__.py
@@ -5,7 +5,12 @@
 """
 
 from comfreywharf.membership.charts import Chart, load_chart
-from comfreywharf.membership.gossip import GossipInterval, choose_partners, push_count
+from comfreywharf.membership.gossip import (
+    GossipInterval,
+    PartnerChooser,
+    choose_partners,
+    push_count,
+)
 from comfreywharf.membership.lifecycle import NodeFacts, NodeLifecycle, PauseDetector
 from comfreywharf.membership.notices import Notice, NoticeBoard
 
@@ -16,6 +21,7 @@
     "NodeLifecycle",
     "Notice",
     "NoticeBoard",
+    "PartnerChooser",
     "PauseDetector",
     "choose_partners",
     "load_chart",
--- a/comfreywharf/membership/gossip.py
+++ b/comfreywharf/membership/gossip.py
@@ -9,10 +9,11 @@
 """
 
 import math
+import random
 
 import attrs
 
-__all__ = ["GossipInterval", "choose_partners", "push_count"]
+__all__ = ["GossipInterval", "PartnerChooser", "choose_partners", "push_count"]
 
 BASE_INTERVAL_S = 0.5
 """The interval between two exchanges while there is new information."""
@@ -28,6 +29,16 @@
 INTERVAL_GROWTH = 1.5
 """The factor by which the interval grows with each exchange without anything new."""
 
+FAR_EVERY = 4
+"""One in so many exchanges is with another failure domain.
+
+Traffic between failure domains is expensive. An exact share, instead of a random one,
+bounds the time in which a node of a small domain hears from others.
+"""
+
+SPARE_PARTNERS = 2
+"""Number of further peers that are tried if the first one doesn't answer."""
+
 
 @attrs.define
 class GossipInterval:
@@ -67,3 +78,46 @@
     """Return up to ``count`` distinct candidates, chosen uniformly."""
     ordered = sorted(candidates)
     return rng.sample(ordered, min(count, len(ordered)))
+
+
+@attrs.define
+class PartnerChooser:
+    """Choose the partners of a node's exchanges, mostly in its own failure domain.
+
+    >>> chooser = PartnerChooser(random.Random(1))
+    >>> chooser.choose(near={"a"}, far=set(), count=1)
+    ['a']
+    """
+
+    _rng: random.Random
+    _turn: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        # Nodes that start together don't all choose a far partner in the same round.
+        self._turn = self._rng.randrange(FAR_EVERY)
+
+    def choose(self, near, far, count):
+        """Return up to ``count`` distinct partners, then spares for the first one.
+
+        ``near`` are the candidates in the own failure domain, ``far`` the others. The
+        first spare is as near as the partner that it replaces: if one node of another
+        domain is lost, a further one is asked. The second isn't, since a whole domain
+        may be cut off.
+        """
+        size = count + SPARE_PARTNERS
+        near_left = choose_partners(near, size, self._rng)
+        far_left = choose_partners(far, size, self._rng)
+        turns = [self._next_is_far() for _ in range(count)]
+        turns += [turns[0], not turns[0]] if turns else []
+        chosen = []
+        for is_far in turns:
+            preferred, other = (
+                (far_left, near_left) if is_far else (near_left, far_left)
+            )
+            if pool := preferred or other:
+                chosen.append(pool.pop())
+        return chosen
+
+    def _next_is_far(self):
+        self._turn = (self._turn + 1) % FAR_EVERY
+        return self._turn == 0
