Count the bytes of calls between nodes by failure domain and kind

Operators couldn't see which traffic crosses failure domains. Each node now counts the bytes that its calls send and receive, by near or far and by kind: requests, leases, records, reports. Calls without an answer are included. A call is counted at its caller only, so that a sum over nodes has each byte once.

--- a/comfreywharf/daemon/membership/gossip.py
+++ b/comfreywharf/daemon/membership/gossip.py
@@ -26,7 +26,7 @@
 from comfreywharf.membership.relays import RelayedAge
 from comfreywharf.records.snapshots import SnapshotAssembler
 from comfreywharf.routes import RouteTableError, UpdateForm
-from comfreywharf.transport import CallError, PeerClient
+from comfreywharf.transport import CallError
 from comfreywharf.transport.gen.ttypes import (
     ExchangeReply,
     ExchangeRequest,
@@ -87,7 +87,7 @@
         self._snapshot_offset = -1
         self._reported_routes = set()
         self._seeds = {
-            (seed.host, seed.port): PeerClient(seed.host, seed.port, node.reporter)
+            (seed.host, seed.port): node.peers.client_at(seed.host, seed.port)
             for seed in node.settings.seeds
         }
         node.notices.on_new_notice(self.push_soon)
@@ -220,7 +220,7 @@
         client = self._node.peers.client(request.node_id)
         if client is not None:
             return client
-        return PeerClient(request.host, request.peer_port, self._node.reporter)
+        return self._node.peers.client_at(request.host, request.peer_port)
 
     def _records_for(self, next_offset):
         replica = self._node.follower.replica
--- a/comfreywharf/daemon/membership/peers.py
+++ b/comfreywharf/daemon/membership/peers.py
@@ -1,6 +1,6 @@
 """Connections to the other nodes by node id."""
 
-from comfreywharf.transport import PeerClient
+from comfreywharf.transport import PeerClient, PeerTraffic
 
 __all__ = ["Peers"]
 
@@ -8,13 +8,15 @@
 class Peers:
     """Connection pools to other nodes, opened on first use.
 
-    The address of a node may change with its next incarnation; its pool is then
-    replaced.
+    The address or failure domain of a node may change with its next incarnation; its
+    pool is then replaced. ``traffic`` counts the bytes of the calls.
     """
 
-    def __init__(self, follower, stamps):
+    def __init__(self, follower, stamps, failure_domain):
+        self.traffic = PeerTraffic()
         self._follower = follower
         self._stamps = stamps
+        self._failure_domain = failure_domain
         self._clients = {}
 
     def client(self, node_id):
@@ -22,11 +24,18 @@
         member = self._follower.state.members.get(node_id)
         if member is None:
             return None
-        client = self._clients.get(node_id)
-        if client and (client.host, client.port) == (member.host, member.peer_port):
+        address = (member.host, member.peer_port, member.failure_domain)
+        known_address, client = self._clients.get(node_id, (None, None))
+        if known_address == address:
             return client
         if client:
             client.close()
-        client = PeerClient(member.host, member.peer_port, self._stamps)
-        self._clients[node_id] = client
+        near = member.failure_domain == self._failure_domain
+        client = self.client_at(member.host, member.peer_port, near)
+        self._clients[node_id] = address, client
         return client
+
+    def client_at(self, host, port, near=False):
+        """Return a client for an address, of a node that may not be a member yet."""
+        count_bytes = self.traffic.counter(near)
+        return PeerClient(host, port, self._stamps, count_bytes)
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -97,7 +97,7 @@
         self.routes = Routes(self.ports.retry_fraction)
         self.evacuations = Evacuations(self.ports.evacuate_s)
         self.evacuation_watch = EvacuationWatch(self)
-        self.peers = Peers(self.follower, self.reporter)
+        self.peers = Peers(self.follower, self.reporter, settings.failure_domain)
         self.notices = Notices()
         self.gossip = Gossip(self)
         if self.ports.read_options.relayed:
--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -105,6 +105,7 @@
             log_reachable=node.follower.reachable,
             log_calls=dict(node.follower.traffic.calls),
             log_bytes=dict(node.follower.traffic.size_bytes),
+            peer_bytes=dict(node.peers.traffic.size_bytes),
             fold_offset=node.follower.state.next_offset,
             fold_age_s=min(now_s - node.follower.confirmed_s, NEVER_AGE_S),
             config_version=node.follower.state.config.version,
--- a/comfreywharf/fleet/tests/builders.py
+++ b/comfreywharf/fleet/tests/builders.py
@@ -35,6 +35,7 @@
         "log_reachable": True,
         "log_calls": {"append": 3},
         "log_bytes": {"sent": 300},
+        "peer_bytes": {("sent", "near", "leases"): 124},
         "fold_offset": 42,
         "fold_age_s": 0.3,
         "config_version": 2,
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -186,6 +186,13 @@
             "log",
             "Bytes of bodies sent to the log service and received from it",
         ),
+        _family(
+            "peer_bytes_total",
+            _COUNTER,
+            "direction distance kind",
+            "traffic",
+            "Bytes of calls from here to other nodes, by failure domain and kind",
+        ),
         _family(
             "fold_age_seconds",
             _GAUGE,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -45,6 +45,7 @@
     log_reachable: bool
     log_calls: dict[str, int]
     log_bytes: dict[str, int]
+    peer_bytes: dict[tuple[str, str, str], int]
     fold_offset: int
     fold_age_s: float
     config_version: int
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -83,6 +83,7 @@
         "log_reachable": _unlabelled(int(gauges.log_reachable)),
         "log_calls_total": _with_one_label(gauges.log_calls),
         "log_bytes_total": _with_one_label(gauges.log_bytes),
+        "peer_bytes_total": gauges.peer_bytes,
         "fold_offset": _unlabelled(gauges.fold_offset),
         "fold_age_seconds": _unlabelled(gauges.fold_age_s),
         "config_version": _unlabelled(gauges.config_version),
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -20,6 +20,7 @@
     log_reachable=True,
     log_calls={"append": 3, "read": 4},
     log_bytes={"sent": 300, "received": 4000},
+    peer_bytes={("sent", "far", "records"): 700},
     fold_offset=42,
     fold_age_s=0.3,
     config_version=2,
--- a/comfreywharf/transport/__init__.py
+++ b/comfreywharf/transport/__init__.py
@@ -8,5 +8,13 @@
 from comfreywharf.transport.server import PeerServer
 from comfreywharf.transport.sockets import MAX_FRAME_BYTES
 from comfreywharf.transport.stamps import Stamps
+from comfreywharf.transport.traffic import PeerTraffic
 
-__all__ = ["MAX_FRAME_BYTES", "CallError", "PeerClient", "PeerServer", "Stamps"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "CallError",
+    "PeerClient",
+    "PeerServer",
+    "PeerTraffic",
+    "Stamps",
+]
--- a/comfreywharf/transport/clients.py
+++ b/comfreywharf/transport/clients.py
@@ -5,8 +5,13 @@
 from thrift.Thrift import TException
 
 from comfreywharf.transport.gen import Node
-from comfreywharf.transport.sockets import is_open_and_idle, protocol_over
+from comfreywharf.transport.sockets import (
+    SocketTransport,
+    is_open_and_idle,
+    protocol_on,
+)
 from comfreywharf.transport.stamps import NoStamps
+from comfreywharf.transport.traffic import ignore_bytes
 
 __all__ = ["CallError", "PeerClient"]
 
@@ -27,11 +32,13 @@
 
 
 class _Connection:
-    """A connected thrift client that numbers its calls."""
+    """A connected thrift client that numbers its calls and counts their bytes."""
 
-    def __init__(self, sock):
+    def __init__(self, sock, count_bytes):
         self._sock = sock
-        self._protocol = protocol_over(sock)
+        self._count_bytes = count_bytes
+        self._transport = SocketTransport(sock)
+        self._protocol = protocol_on(self._transport)
         self._client = Node.Client(self._protocol)
         self._seqid = 0
 
@@ -39,7 +46,16 @@
         self._seqid += 1
         self._client._seqid = self._seqid
         self._protocol.expected_seqid = self._seqid
-        return getattr(self._client, method)(*arguments)
+        transport = self._transport
+        sent_bytes, received_bytes = transport.sent_bytes, transport.received_bytes
+        try:
+            return getattr(self._client, method)(*arguments)
+        finally:
+            self._count_bytes(
+                method,
+                transport.sent_bytes - sent_bytes,
+                transport.received_bytes - received_bytes,
+            )
 
     def is_open_and_idle(self):
         return is_open_and_idle(self._sock)
@@ -53,12 +69,16 @@
 
     ``call`` either returns the answer or raises `CallError`. It never sends a
     call twice: `comfreywharf.routing` decides whether a request may be retried.
+
+    ``count_bytes(method, sent_bytes, received_bytes)`` is called after each call that
+    was sent, also if it failed.
     """
 
-    def __init__(self, host, port, stamps=None):
+    def __init__(self, host, port, stamps=None, count_bytes=ignore_bytes):
         self.host = host
         self.port = port
         self._stamps = stamps or NoStamps()
+        self._count_bytes = count_bytes
         self._idle = []
 
     def call(self, method, *arguments, timeout_s):
@@ -105,7 +125,7 @@
             (self.host, self.port), timeout=CONNECT_TIMEOUT_S
         )
         sock.settimeout(None)
-        return _Connection(sock)
+        return _Connection(sock, self._count_bytes)
 
     def _discard(self, connection):
         if connection is not None:
--- a/comfreywharf/transport/sockets.py
+++ b/comfreywharf/transport/sockets.py
@@ -19,6 +19,7 @@
     "is_closed_by_peer",
     "is_open_and_idle",
     "not_open_and_idle",
+    "protocol_on",
     "protocol_over",
 ]
 
@@ -73,9 +74,14 @@
 
 
 class SocketTransport(TTransportBase):
-    """Bytes to and from a gevent socket, read ahead to save system calls."""
+    """Bytes to and from a gevent socket, read ahead to save system calls.
+
+    ``sent_bytes`` and ``received_bytes`` are the totals since it was connected.
+    """
 
     def __init__(self, sock):
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self._sock = sock
         self._buffer = b""
         # Nagle's algorithm delays a small answer until the peer's delayed
@@ -108,6 +114,7 @@
         data = self._sock.recv(_RECEIVE_BYTES)
         if not data:
             raise TTransportException(TTransportException.END_OF_FILE, "peer closed")
+        self.received_bytes += len(data)
         return data
 
     def write(self, data):
@@ -115,6 +122,7 @@
         if self._sock is None:
             raise TTransportException(TTransportException.NOT_OPEN, "closed")
         self._sock.sendall(data)
+        self.sent_bytes += len(data)
 
     def flush(self):
         """Do nothing: `write` sends at once, and frames are written in one call."""
@@ -168,5 +176,10 @@
 
 def protocol_over(sock, max_frame_bytes=MAX_FRAME_BYTES):
     """Return the framed `CheckedProtocol` over a connected socket."""
-    framed = TFramedTransport(SocketTransport(sock), max_frame_bytes)
+    return protocol_on(SocketTransport(sock), max_frame_bytes)
+
+
+def protocol_on(transport, max_frame_bytes=MAX_FRAME_BYTES):
+    """Return the framed `CheckedProtocol` over a `SocketTransport`."""
+    framed = TFramedTransport(transport, max_frame_bytes)
     return CheckedProtocol(framed, string_length_limit=max_frame_bytes)
--- a/comfreywharf_dev/standins/fleet.py
+++ b/comfreywharf_dev/standins/fleet.py
@@ -65,6 +65,7 @@
 
     node_id: str
     seeds: tuple[Address, ...]
+    failure_domain: str = "teika"
     host: str = "127.0.0.1"
     peer_port: int = 0
     advertised_peer_port: int = 0
@@ -81,7 +82,7 @@
         rng = random.Random(node_id)
         client = LogClient("127.0.0.1", log_port)
         self.follower = Follower(client, STREAM, self.report, node_id, rng)
-        self.peers = Peers(self.follower, self.reporter)
+        self.peers = Peers(self.follower, self.reporter, self.settings.failure_domain)
         self.notices = Notices()
         self.routes = Routes()
         self.evacuations = Evacuations(EVACUATE_S)
