--- a/comfreywharf/daemon/membership/gossip.py
+++ b/comfreywharf/daemon/membership/gossip.py
@@ -14,13 +14,20 @@
     pack_records,
     unpack_records,
 )
+from comfreywharf.daemon.records.logclient import complete_at_s
 from comfreywharf.daemon.records.snapshots import encode_yielding
 from comfreywharf.membership.evacuations import NO_VERSION
-from comfreywharf.membership.gossip import GossipInterval, choose_partners, push_count
+from comfreywharf.membership.gossip import (
+    SPARE_PARTNERS,
+    GossipInterval,
+    PartnerChooser,
+    choose_partners,
+    push_count,
+)
 from comfreywharf.membership.relays import RelayedAge
 from comfreywharf.records.snapshots import SnapshotAssembler
 from comfreywharf.routes import RouteTableError, UpdateForm
-from comfreywharf.transport import CallError, PeerClient
+from comfreywharf.transport import CallError
 from comfreywharf.transport.gen.ttypes import (
     ExchangeReply,
     ExchangeRequest,
@@ -44,9 +51,6 @@
 PUSH_GAP_S = 0.05
 """Pause between two rounds of pushes, so that a burst of news is sent together."""
 
-SPARE_PARTNERS = 2
-"""Number of further peers that are tried if the first one doesn't answer."""
-
 MAX_REPLY_BYTES = 256 * 1024
 """Limit for the records in one reply; a node further behind repeats its request at
 once."""
@@ -65,6 +69,8 @@
 class Gossip:
     """Exchange news with random peers, at an interval and when there is news.
 
+    Most exchanges are with peers in the node's own failure domain.
+
     News are log records, routes and notices that a peer doesn't have yet. The peers
     are the members in the folded state. A node without any, for instance because it
     starts while the log is down, uses the seeds of its settings.
@@ -73,6 +79,7 @@
     def __init__(self, node, rng=None):
         self._node = node
         self._rng = rng or random.Random(node.settings.node_id)
+        self._partner_chooser = PartnerChooser(self._rng)
         self._exchange_interval = GossipInterval()
         self._push_due = Event()
         self._calls = Pool(MAX_CONCURRENT)
@@ -81,7 +88,7 @@
         self._snapshot_offset = -1
         self._reported_routes = set()
         self._seeds = {
-            (seed.host, seed.port): PeerClient(seed.host, seed.port, node.reporter)
+            (seed.host, seed.port): node.peers.client_at(seed.host, seed.port)
             for seed in node.settings.seeds
         }
         node.notices.on_new_notice(self.push_soon)
@@ -214,7 +221,7 @@
         client = self._node.peers.client(request.node_id)
         if client is not None:
             return client
-        return PeerClient(request.host, request.peer_port, self._node.reporter)
+        return self._node.peers.client_at(request.host, request.peer_port)
 
     def _records_for(self, next_offset):
         replica = self._node.follower.replica
@@ -244,21 +251,31 @@
         self._exchange_with(push_count(len(self._node.follower.state.members)))
 
     def _exchange_with(self, count):
-        clients = self._partners(count + SPARE_PARTNERS)
+        clients = self._partners(count)
         for number in range(min(count, len(clients))):
             spares = clients[count:] if number == 0 else []
             self._calls.spawn(self._exchange_with_first, [clients[number], *spares])
 
     def _partners(self, count):
-        members = set(self._node.follower.state.members)
-        members.discard(self._node.settings.node_id)
-        if members:
-            chosen = choose_partners(members, count, self._rng)
+        """Return the clients of ``count`` peers, then those of spares."""
+        near, far = self._peers_by_distance()
+        if near or far:
+            chosen = self._partner_chooser.choose(near, far, count)
             clients = [self._node.peers.client(node_id) for node_id in chosen]
             return [client for client in clients if client is not None]
-        chosen = choose_partners(self._seeds, count, self._rng)
+        chosen = choose_partners(self._seeds, count + SPARE_PARTNERS, self._rng)
         return [self._seeds[address] for address in chosen]
 
+    def _peers_by_distance(self):
+        """Return the other members in the node's own failure domain, and the rest."""
+        settings = self._node.settings
+        near, far = [], []
+        for node_id, member in self._node.follower.state.members.items():
+            if node_id != settings.node_id:
+                is_near = member.failure_domain == settings.failure_domain
+                (near if is_near else far).append(node_id)
+        return near, far
+
     def _exchange_with_first(self, clients):
         """Exchange with the first peer that answers.
 
@@ -333,19 +350,19 @@
         timeout_s = wait_s + LONG_POLL_MARGIN_S if wait_s else EXCHANGE_TIMEOUT_S
         reply = client.call("exchange", request, timeout_s=timeout_s)
         node.notices.receive(reply.notices, boottime_s())
-        self._apply_operators_news(reply, client, sent_s)
+        answered_s = earliest_answer_s(request, reply, sent_s)
+        self._apply_operators_news(reply, client, answered_s)
         advanced = self._fold_records(_records_in(reply))
         if reply.log_age_ms >= 0 and node.follower.has_all_below(reply.next_offset):
-            # The peer's fold matched the log ``log_age_ms`` before its answer, and
-            # the answer came after the request was sent.
-            node.follower.confirm(sent_s - reply.log_age_ms / 1000)
+            # The peer's fold matched the log ``log_age_ms`` before its answer.
+            node.follower.confirm(answered_s - reply.log_age_ms / 1000)
         return reply, advanced
 
-    def _apply_operators_news(self, reply, client, sent_s):
+    def _apply_operators_news(self, reply, client, answered_s):
         """Apply a peer's evacuations and routes if newer, in this order.
 
         Record when both were confirmed as current. The reported age counts from the
-        answer, which came after the request was sent.
+        answer, which came at ``answered_s`` or later.
         """
         routes = self._node.routes
         source = f"{client.host}:{client.port}"
@@ -365,7 +382,7 @@
             and reply.evacuations_version is not None
         )
         if reply.routes_age_ms >= 0 and has_all:
-            routes.confirm(sent_s - reply.routes_age_ms / 1000)
+            routes.confirm(answered_s - reply.routes_age_ms / 1000)
 
     def _report_unreadable_routes(self, source, error):
         """Count unreadable routes, and report them once for each peer and cause."""
@@ -392,9 +409,24 @@
         return advanced
 
 
-def _evacuations_version(request):
+def earliest_answer_s(request, reply, sent_s):
+    """Return the earliest time at which a peer can have answered an exchange.
+
+    A peer without news answers when the wait of the request ends. If its age counted
+    from the sending of the request, each level of relays would add a second to the age
+    of the data, and relays of the third level would appear outdated.
+    """
+    has_news = (
+        reply.next_offset > request.next_offset
+        or reply.routes_version > request.routes_version
+        or _evacuations_version(reply) > _evacuations_version(request)
+    )
+    return complete_at_s(sent_s, request.wait_ms / 1000, has_news)
+
+
+def _evacuations_version(message):
     """Return the version that a peer knows; a peer of an earlier build tells none."""
-    version = request.evacuations_version
+    version = message.evacuations_version
     return NO_VERSION if version is None else version
 
 
