Choose servers by the load that their nodes report

A node knows of a server only how its own requests fared there, seconds ago. With many senders, requests wait at one server while another one is idle.

ServerLoadState keeps the load of a server at the node beside it: the node's own counts, and what the server reports beyond these while it is recent and doesn't contradict them. ByReportedLoad estimates the time until an answer from that load, its age and what was sent since, and falls back to the measured latency without a recent one. The comparison of calls plays reported loads, long requests and targets.

--- a/comfreywharf/load/__init__.py
+++ b/comfreywharf/load/__init__.py
@@ -8,6 +8,7 @@
 from comfreywharf.load.absences import Absences
 from comfreywharf.load.choice import (
     DEFAULT_CHOOSER,
+    ByReportedLoad,
     Chooser,
     LeastInFlight,
     NearFirst,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "Absences",
+    "ByReportedLoad",
     "DEFAULT_CHOOSER",
     "Chooser",
     "ConcurrencyLimit",
--- a/comfreywharf/load/choice.py
+++ b/comfreywharf/load/choice.py
@@ -2,8 +2,14 @@
 
 from abc import ABC, abstractmethod
 
+import attrs
+
+from comfreywharf.load.serverload import estimated_answer_s
+
 __all__ = [
     "DEFAULT_CHOOSER",
+    "ByReportedLoad",
+    "ChoiceTerms",
     "Chooser",
     "LeastInFlight",
     "NearFirst",
@@ -20,6 +26,36 @@
 MAX_NEAR_FAILURE_FRACTION = 0.05
 """Fraction refused or failed from which on a near server isn't preferred."""
 
+NEAR_WORK_FRACTION = 0.25
+"""By how much of the duration of work a near server may answer later than a far one and
+is still chosen."""
+
+LONG_BODY_BYTES = 8 * 1024
+"""A longer body is sent after its request; sending it to another failure domain costs
+more than a later answer that still meets its target."""
+
+
+@attrs.frozen(kw_only=True)
+class ChoiceTerms:
+    """What a request needs of the server that is chosen for it.
+
+    An answer is wanted within ``target_s``, ``None`` if there is no target, and is
+    worth nothing after ``remaining_s``. ``long_body`` tells whether its body is sent
+    after it.
+    """
+
+    now_s: float
+    target_s: float | None = None
+    remaining_s: float = float("inf")
+    long_body: bool = False
+
+    @property
+    def near_limit_s(self):
+        """Return within which time the answer of a near server is early enough."""
+        if self.target_s is not None and self.target_s > 0:
+            return self.target_s
+        return self.remaining_s if self.long_body else 0.0
+
 
 def within_bounds(members, cold_per_s, now_s, rng):
     """Return those of some members that may get the next request.
@@ -55,10 +91,11 @@
     """Choose among backend servers, from this node's own measurements."""
 
     @abstractmethod
-    def choose(self, members, rng):
+    def choose(self, members, rng, terms=None):
         """Return one of ``members``, a non-empty list of `MemberLoad`.
 
-        ``rng`` is the `random.Random` to draw from.
+        ``rng`` is the `random.Random` to draw from. ``terms`` are the `ChoiceTerms` of
+        the request; they may be ``None`` if they aren't known.
         """
 
 
@@ -68,7 +105,7 @@
     def __init__(self):
         self._turn = 0
 
-    def choose(self, members, rng):
+    def choose(self, members, rng, terms=None):
         """Return the next member."""
         self._turn += 1
         return members[self._turn % len(members)]
@@ -77,7 +114,7 @@
 class LeastInFlight(Chooser):
     """Choose the server with the fewest requests in flight relative to its weight."""
 
-    def choose(self, members, rng):
+    def choose(self, members, rng, terms=None):
         """Return the least loaded member; ties are broken at random.
 
         If the first of several equal members were chosen, all ingress nodes would
@@ -94,7 +131,7 @@
     latency distinguishes a slow server from a fast one before requests queue there.
     """
 
-    def choose(self, members, rng):
+    def choose(self, members, rng, terms=None):
         """Return the better of two random members."""
         if len(members) == 1:
             return members[0]
@@ -109,7 +146,7 @@
     refuses or fails isn't preferred, since its requests would be sent twice.
     """
 
-    def choose(self, members, rng):
+    def choose(self, members, rng, terms=None):
         """Return a near member, or a far one if it is much better."""
         near = [m for m in members if m.near and _is_healthy(m)]
         far = [m for m in members if not m.near]
@@ -120,6 +157,51 @@
         return first if _cost(first) <= NEAR_COST_RATIO * _cost(second) else second
 
 
+class ByReportedLoad(NearFirst):
+    """Choose the server that answers first by the load that its node reports.
+
+    The load of a server whose latest reply is old, or comes from a node that reports
+    none, isn't known. Where that is so for a candidate, the choice is by measured
+    latency, as that of `NearFirst` is.
+    """
+
+    def choose(self, members, rng, terms=None):
+        """Return a near member that answers in time, or the one that answers first."""
+        if terms is None:
+            return super().choose(members, rng)
+        near = [m for m in members if m.near and _is_healthy(m)]
+        far = [m for m in members if not m.near]
+        if not near or not far:
+            return _best_of_two(members, rng, terms.now_s)
+        first = _best_of_two(near, rng, terms.now_s)
+        loaded = first.has_load(terms.now_s)
+        if loaded and _estimate_s(first, terms.now_s) <= terms.near_limit_s:
+            return first
+        second = _best_of_two(far, rng, terms.now_s)
+        if not loaded or not second.has_load(terms.now_s):
+            is_near = _cost(first) <= NEAR_COST_RATIO * _cost(second)
+        else:
+            later_s = _estimate_s(first, terms.now_s) - _estimate_s(second, terms.now_s)
+            is_near = later_s <= NEAR_WORK_FRACTION * second.load.work_s
+        return first if is_near else second
+
+
+def _best_of_two(members, rng, now_s):
+    """Return the better of two random members; the first drawn one of equal ones."""
+    if len(members) == 1:
+        return members[0]
+    first, second = rng.sample(members, 2)
+    if first.has_load(now_s) and second.has_load(now_s):
+        return min(first, second, key=lambda member: _estimate_s(member, now_s))
+    return first if _cost(first) <= _cost(second) else second
+
+
+def _estimate_s(member, now_s):
+    return estimated_answer_s(
+        member.load, now_s - member.load_received_s, member.sent_since_load
+    )
+
+
 def _is_healthy(member):
     return member.refused_fraction + member.failure_fraction < MAX_NEAR_FAILURE_FRACTION
 
--- a/comfreywharf/load/members.py
+++ b/comfreywharf/load/members.py
@@ -3,6 +3,7 @@
 import attrs
 
 from comfreywharf.load.limits import warm_fraction
+from comfreywharf.load.serverload import MAX_REPORT_AGE_S, LoadSnapshot
 
 __all__ = ["MemberLoad"]
 
@@ -26,13 +27,15 @@
 class MemberLoad:
     """Requests in flight, latency and failures of one backend server.
 
-    All values are measured by this node. What a backend server reports about its
-    own health and load isn't used: reports lag, and a server that fails every
-    request may report that it is healthy and idle. ``announced_offset`` identifies
+    All values are measured by this node, except ``load``. What a backend server
+    reports about its own health isn't used: a server that fails every request may
+    report that it is healthy and idle. ``announced_offset`` identifies
     a start of the server; after each start it is cold. ``near`` is true if the
     server is in this node's failure domain. The node beside the server may report that
     its requests are bounded until ``cold_until_s``, or that it takes ``limit_per_s``
-    requests per second, which counts until ``limited_until_s``.
+    requests per second, which counts until ``limited_until_s``. ``load`` is the load
+    that this node told last, ``None`` if it tells none, and ``sent_since_load`` how
+    many requests were sent there since.
     """
 
     node_id: str
@@ -48,6 +51,9 @@
     cold_until_s: float = float("-inf")
     limit_per_s: float = 0.0
     limited_until_s: float = float("-inf")
+    load: LoadSnapshot | None = None
+    load_received_s: float = float("-inf")
+    sent_since_load: int = 0
 
     def is_cold(self, now_s):
         """Return whether the server's requests are bounded, as it is cold."""
@@ -88,10 +94,24 @@
         self.failure_fraction = 0.0
         self.refused_fraction = 0.0
         self.samples = 0
+        self.load = None
+
+    def record_load(self, load, now_s):
+        """Record the `LoadSnapshot` in a reply."""
+        self.load = load
+        self.load_received_s = now_s
+        self.sent_since_load = 0
+
+    def has_load(self, now_s):
+        """Return whether a recent load is known, with the duration of work."""
+        if self.load is None or not self.load.work_s:
+            return False
+        return now_s - self.load_received_s <= MAX_REPORT_AGE_S
 
     def begin(self):
         """Count a request that is sent."""
         self.in_flight += 1
+        self.sent_since_load += 1
 
     def drop(self):
         """Count the end of a request whose outcome doesn't concern the server."""
--- a/comfreywharf/load/tests/builders.py
+++ b/comfreywharf/load/tests/builders.py
@@ -6,8 +6,9 @@
 from comfreywharf.load.fairqueue import Ticket
 from comfreywharf.load.limits import WARM_ANSWERS_PER_SLOT, ConcurrencyLimit
 from comfreywharf.load.members import MemberLoad
+from comfreywharf.load.serverload import LoadSnapshot
 
-__all__ = ["admission_state", "make_ticket", "member", "warm_limit"]
+__all__ = ["admission_state", "load_snapshot", "make_ticket", "member", "warm_limit"]
 
 
 def warm_limit(slots):
@@ -42,3 +43,8 @@
         measured.begin()
         measured.finish(latency_s, failed)
     return measured
+
+
+def load_snapshot(running=0, waiting=0, slots=3, work_s=0.1):
+    """Return the load of a server with three slots."""
+    return LoadSnapshot(running=running, waiting=waiting, slots=slots, work_s=work_s)
--- a/comfreywharf_dev/comparisons/__main__.py
+++ b/comfreywharf_dev/comparisons/__main__.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from comfreywharf.load import TwoChoices
+from comfreywharf.load import ByReportedLoad, TwoChoices
 from comfreywharf.routing import RouteLimits
 from comfreywharf_dev.comparisons.call_loads import CALL_LOADS
 from comfreywharf_dev.comparisons.calls import CallWay, simulate_calls
@@ -39,9 +39,25 @@
         passes=RouteLimits().passes,
         wait_fraction=RouteLimits().max_wait_fraction,
     ),
+    CallWay(
+        name="by load",
+        answers="uneven servers whose replies come often; passed on as above",
+        passes=RouteLimits().passes,
+        wait_fraction=RouteLimits().max_wait_fraction,
+        make_chooser=ByReportedLoad,
+        reports_load=True,
+    ),
 )
 
-HEADINGS = ("served", "thrown away", "uploads", "sends", "far", "imbalance")
+HEADINGS = (
+    "served",
+    "thrown away",
+    "uploads",
+    "mean in s",
+    "sends",
+    "far",
+    "imbalance",
+)
 
 app = App(name="comparisons", help="Compare ways to place calls between services.")
 
@@ -53,6 +69,7 @@
         outcomes.runs_served / outcomes.runs,
         outcomes.thrown_away,
         outcomes.uploads_served / outcomes.uploads,
+        sum(outcomes.answers_s) / len(outcomes.answers_s),
         outcomes.sends / requests,
         outcomes.far_sends / outcomes.sends,
         outcomes.imbalance,
@@ -63,8 +80,8 @@
 def compare(*, seconds: float = 6.0):
     """Play each way on each load, and print a table.
 
-    ``served`` and ``thrown away`` are fractions of the runs that make calls, ``sends``
-    are per request, ``far`` those to another domain.
+    ``served`` and ``thrown away`` are fractions of the runs that make calls, ``mean``
+    the time until an answer, ``sends`` per request, ``far`` those to another domain.
 
     Parameters
     ----------
--- a/comfreywharf_dev/comparisons/call_loads.py
+++ b/comfreywharf_dev/comparisons/call_loads.py
@@ -16,7 +16,9 @@
     ``calling`` of them makes ``calls_each`` calls of ``call_s`` at once, and fails if
     one fails. ``uploads_per_s`` of ``upload_s`` come from callers. A ``slow_fraction``
     of the time, a server's machine works ``slow_factor`` times as long, in spells of
-    ``slow_spell_s``. Runs arrive in clumps of ``clump`` in the mean.
+    ``slow_spell_s``. A ``long_fraction`` of the requests takes ``long_factor`` times as
+    long. Runs arrive in clumps of ``clump`` in the mean. Answers are wanted within
+    ``call_target_s`` and ``upload_target_s``, if these are known.
     """
 
     name: str
@@ -37,6 +39,10 @@
     slow_factor: float = 1.0
     slow_spell_s: float = 0.4
     clump: float = 1.0
+    long_fraction: float = 0.0
+    long_factor: float = 7.0
+    call_target_s: float | None = None
+    upload_target_s: float | None = None
 
 
 CALL_LOADS = (
@@ -100,4 +106,23 @@
         upload_deadline_s=1.571,
         speeds=(0.6, 1.0, 1.4),
     ),
+    CallLoad(
+        name="archive, uneven",
+        senders=70,
+        domains=3,
+        servers=28,
+        slots=3,
+        runs_per_s=250.0,
+        calls_each=1,
+        call_s=0.040,
+        call_deadline_s=0.765,
+        uploads_per_s=50.0,
+        upload_s=0.540,
+        upload_deadline_s=4.408,
+        upload_target_s=1.5,
+        speeds=(0.5, 0.75, 1.0, 1.25, 1.5),
+        slow_fraction=0.2,
+        slow_factor=3.0,
+        long_fraction=1 / 30,
+    ),
 )
--- a/comfreywharf_dev/comparisons/calls.py
+++ b/comfreywharf_dev/comparisons/calls.py
@@ -20,7 +20,9 @@
     TimePassed,
     decide,
 )
+from comfreywharf.load.choice import ChoiceTerms
 from comfreywharf.load.fairqueue import RankedQueue
+from comfreywharf.load.serverload import ReportedLoad, ServerLoadState
 from comfreywharf_dev.bench.load_model import Clock
 
 __all__ = ["CallOutcomes", "CallWay", "simulate_calls"]
@@ -38,7 +40,8 @@
     """A way to place calls, and in a sentence which load it answers.
 
     A request may be passed on ``passes`` times by servers at which it would wait for a
-    larger fraction of its time left than ``wait_fraction``.
+    larger fraction of its time left than ``wait_fraction``. If it ``reports_load``,
+    servers report their load, and replies tell it.
     """
 
     name: str
@@ -46,11 +49,15 @@
     passes: int = 0
     wait_fraction: float = 0.25
     make_chooser: object = NearFirst
+    reports_load: bool = False
 
 
 @attrs.define
 class CallOutcomes:
-    """Counts of runs and uploads; of runs, only those that make calls."""
+    """Counts of runs and uploads; of runs, only those that make calls.
+
+    ``answers_s`` are the times until the answers to calls and uploads that were served.
+    """
 
     runs: int = 0
     runs_served: int = 0
@@ -60,6 +67,7 @@
     sends: int = 0
     far_sends: int = 0
     work_s: dict = attrs.Factory(dict)
+    answers_s: list = attrs.Factory(list)
 
     @property
     def thrown_away(self):
@@ -85,6 +93,7 @@
         self._slow = {}
         self._callbacks = {}
         self._ticking = False
+        self._load = ServerLoadState()
         self.state = AdmissionState(
             ConcurrencyLimit(model.load.slots, ramp_up=False, cut_on_refusal=False),
             QUEUE_LENGTH,
@@ -94,7 +103,10 @@
         )
 
     def send(self, request, max_wait_s, on_end):
-        """Ask for a slot; call ``on_end(served, refused)`` once it is known."""
+        """Ask for a slot; call ``on_end(served, refused, load)`` once it is known.
+
+        ``load`` is the `LoadSnapshot` in the reply, ``None`` if replies have none.
+        """
         now_s = self._model.clock.now_s
         ticket = Ticket(
             flow=None,
@@ -122,7 +134,7 @@
             if isinstance(action, Begin):
                 self._begin(action.ticket)
             elif isinstance(action, Shed):
-                self._callbacks.pop(action.ticket)[1](False, True)
+                self._callbacks.pop(action.ticket)[1](False, True, self._snapshot())
 
     def _begin(self, ticket):
         request, _ = self._callbacks[ticket]
@@ -146,8 +158,29 @@
         on_end = self._callbacks.pop(ticket)[1]
         result = Result.ANSWERED if served else Result.FAILED
         now_s = self._model.clock.now_s
+        if self._model.way.reports_load:
+            self._record_load(ticket, served, now_s)
         self._apply(decide(self.state, Finished(ticket, result), now_s))
-        on_end(served, False)
+        on_end(served, False, self._snapshot())
+
+    def _record_load(self, ticket, served, now_s):
+        running = len(self.state.in_flight)
+        report = ReportedLoad(
+            running=running,
+            waiting=0,
+            slots=self._model.load.slots,
+            work_percent=int(100 * self._slowness(now_s)),
+        )
+        self._load.record_report(report, running, running - 1, now_s)
+        if served:
+            self._load.record_work(now_s - ticket.started_s, now_s)
+
+    def _snapshot(self):
+        if not self._model.way.reports_load:
+            return None
+        state, slots = self.state, self._model.load.slots
+        now_s = self._model.clock.now_s
+        return self._load.snapshot(len(state.in_flight), state.waiting, slots, now_s)
 
 
 @attrs.frozen
@@ -157,6 +190,8 @@
     work_s: float
     deadline_s: float
     rank: int
+    began_s: float = 0.0
+    target_s: float | None = None
 
 
 class _Node:
@@ -180,11 +215,13 @@
 
     def _try(self, request, on_end, tried):
         usable = [m for m in self._members.values() if m.node_id not in tried]
-        member = self._chooser.choose(usable, self._rng)
-        server = self._model.servers[member.node_id]
-        bounded = len(tried) < self._model.way.passes
         sent_s = self._model.clock.now_s
         left_s = request.deadline_s - sent_s
+        target_s = request.target_s and request.began_s + request.target_s - sent_s
+        terms = ChoiceTerms(now_s=sent_s, target_s=target_s, remaining_s=left_s)
+        member = self._chooser.choose(usable, self._rng, terms)
+        server = self._model.servers[member.node_id]
+        bounded = len(tried) < self._model.way.passes
         max_wait_s = self._model.way.wait_fraction * left_s if bounded else None
         outcomes = self._model.outcomes
         outcomes.sends += 1
@@ -192,12 +229,16 @@
         member.begin()
         hop_s = NEAR_HOP_S if member.near else FAR_HOP_S
 
-        def ended(served, refused):
+        def ended(served, refused, load):
             now_s = self._model.clock.now_s
             if refused:
                 member.finish_refused()
             else:
                 member.finish(now_s - sent_s, not served)
+            if served:
+                outcomes.answers_s.append(now_s - request.began_s)
+            if load is not None:
+                member.record_load(load, now_s)
             if refused and bounded:
                 self._try(request, on_end, tried | {member.node_id})
             else:
@@ -256,7 +297,10 @@
         return size
 
     def _work_s(self, mean_s):
-        return mean_s * self.rng.lognormvariate(-0.125, 0.5)
+        work_s = mean_s * self.rng.lognormvariate(-0.125, 0.5)
+        if self.load.long_fraction and self.rng.random() < self.load.long_fraction:
+            work_s *= self.load.long_factor
+        return work_s
 
     def _run(self):
         node = self.rng.choice(self.nodes)
@@ -277,7 +321,9 @@
         for _ in range(calls):
             work_s = self._work_s(self.load.call_s)
             deadline_s = now_s + self.load.call_deadline_s
-            node.send(_Request(work_s, deadline_s, CALL_RANK), call_ended)
+            target_s = self.load.call_target_s
+            request = _Request(work_s, deadline_s, CALL_RANK, now_s, target_s)
+            node.send(request, call_ended)
 
     def _upload(self):
         node = self.rng.choice(self.nodes)
@@ -286,9 +332,12 @@
         def ended(served, refused):
             self.outcomes.uploads_served += served
 
-        deadline_s = self.clock.now_s + self.load.upload_deadline_s
+        now_s = self.clock.now_s
+        deadline_s = now_s + self.load.upload_deadline_s
         work_s = self._work_s(self.load.upload_s)
-        node.send(_Request(work_s, deadline_s, UPLOAD_RANK), ended)
+        target_s = self.load.upload_target_s
+        request = _Request(work_s, deadline_s, UPLOAD_RANK, now_s, target_s)
+        node.send(request, ended)
 
 
 def simulate_calls(load, way, *, factor=1.0, seconds=8.0, seed=1):
