Read the load that a server reports in its answers

Three or four whole numbers in X-Instance-Load become a ReportedLoad in the Statement. Anything else is damaged, as is a header that comes twice. The limit is read as before.

--- a/comfreywharf/platform/tests/test_statements.py
+++ b/comfreywharf/platform/tests/test_statements.py
@@ -3,6 +3,7 @@
 import pytest
 
 from comfreywharf.daemon.servers.statements import Statement
+from comfreywharf.load.serverload import ReportedLoad
 from comfreywharf.platform.statements import read_statement
 
 
@@ -36,3 +37,27 @@
     assert read_statement({"server-leaving": "1"}).leaving
     assert read_statement({"server-leaving": "1", "server-limit": "x"}).leaving
     assert not read_statement({"server-leaving": "0"}).leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "percent"), [("2,0,7", 100), ("2,0,7,100", 100), ("2,0,7,315", 315)]
+)
+def test_a_load_is_read(text, percent):
+    """A load has three or four whole numbers."""
+    load = ReportedLoad(running=2, waiting=0, slots=7, work_percent=percent)
+    assert read_statement({"x-instance-load": text}) == Statement(load=load)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        *("", "2", "2,0", "2,0,7,", "2,0,7,100,1", "2;0;7", "2, 0, 7", "-1,0,7"),
+        *("2,0,0", "2,0,7,0", "2,0,7,1.5", "9999999,0,7", "2,0,x", ["2,0,7", "2,0,7"]),
+    ],
+)
+def test_a_load_that_cant_be_read_is_damaged(text):
+    """Guards against a damaged load that is taken for an idle server's."""
+    statement = read_statement({"x-instance-load": text, "server-limit": "3"})
+    assert statement.load is None
+    assert statement.damaged_load is not None
+    assert statement.limit_per_s == 3.0
