Tell the load of servers in replies, and choose by it where it is set

With [load] choose_by_load, or a platform whose contracts name health, replies and refusals of services without keys carry the load of the server beside the replying node. Ingress nodes keep it with its age and choose by it. Without the setting nothing is kept, told or reported, and the choosers are as before.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -369,6 +369,7 @@
         if self.backend is None or self.backend.announcement.incarnation != incarnation:
             return
         self.load.record_limit(kind, statement, boottime_s())
+        self.load.server_load.record_statement(kind, statement, boottime_s())
         if statement.leaving:
             self.ports.server_leaves(LeavingServer(incarnation, boottime_s()))
 
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -14,7 +14,7 @@
 from comfreywharf.daemon.records.logclient import LogClient
 from comfreywharf.daemon.requests.wire import OwnDialect
 from comfreywharf.daemon.servers.backend import Backend
-from comfreywharf.load import DEFAULT_CHOOSER, ConcurrencyLimit
+from comfreywharf.load import DEFAULT_CHOOSER, ByReportedLoad, ConcurrencyLimit
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.fairqueue import FairQueue
 from comfreywharf.ownership import LeaseTerms
@@ -41,6 +41,8 @@
       of a service that routes lead to.
     - ``refused_retry_after_ms``: the retry delay in an answer to a request that the
       backend server itself refused.
+    - ``chooses_by_load``: nodes tell the load of their backend servers in replies, and
+      choose servers of a service that isn't divided by key by it.
     - ``routes_apply_s``: the time in seconds within which a change of the routes has
       to be in force.
     - ``evacuate_s``: the time in seconds after an order to evacuate a failure domain
@@ -58,6 +60,7 @@
     removes_lost_nodes = False
     retry_fraction = DEFAULT_RETRY_FRACTION
     refused_retry_after_ms = 1000
+    chooses_by_load = False
     routes_apply_s = float("inf")
     evacuate_s = 5.0
 
@@ -106,7 +109,7 @@
 
     def make_chooser(self):
         """Return the `Chooser` among servers of a service that isn't divided by key."""
-        return DEFAULT_CHOOSER()
+        return ByReportedLoad() if self.chooses_by_load else DEFAULT_CHOOSER()
 
     def backend_lost(self):
         """Handle the loss of the backend server."""
@@ -127,6 +130,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._dialect = OwnDialect()
+        self.chooses_by_load = settings.choose_by_load
 
     @property
     def dialect(self):
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -11,6 +11,7 @@
 from comfreywharf.daemon.requests.uploads import is_inline, send_upload
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.servers.leaving_messages import from_message, to_message
+from comfreywharf.load.choice import ChoiceTerms
 from comfreywharf.records import key_hash
 from comfreywharf.routing import (
     GiveUp,
@@ -185,7 +186,9 @@
         if call.request.key:
             ownership = self._ownership(call.request)
         else:
-            other_member = self._node.load.members.choose(call.service.name, tried)
+            other_member = self._node.load.members.choose(
+                call.service.name, tried, terms=_choice_terms(call)
+            )
         return decide_route(
             progress,
             reply,
@@ -201,7 +204,7 @@
         request = call.request
         if request.key:
             return self._ownership(request).owner
-        return self._node.load.choose(request, call.body)
+        return self._node.load.choose(request, call.body, _choice_terms(call))
 
     def _ownership(self, request):
         state = self._node.follower.state
@@ -338,3 +341,14 @@
         except CallError:
             # The request still ends at its deadline, which the owner enforces.
             return
+
+
+def _choice_terms(call):
+    now_s = boottime_s()
+    target_s = call.target_deadline_s
+    return ChoiceTerms(
+        now_s=now_s,
+        target_s=None if target_s is None else target_s - now_s,
+        remaining_s=call.deadline_s - now_s,
+        long_body=not is_inline(call.body),
+    )
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -91,6 +91,7 @@
             cold_left_s = node.load.cold.cold_left_s(boottime_s())
             served.reply.cold_ms = math.ceil(cold_left_s * 1000) or None
             served.reply.limit_per_s = node.load.rate_limit.limit_per_s
+            served.reply.load = node.load.server_load.message(boottime_s())
         return served
 
     def _serve(self, request, body, now_s):
@@ -121,6 +122,10 @@
         """Return how many requests are at the backend server."""
         return len(self._running)
 
+    def awaited_since(self, time_s):
+        """Return how many requests were sent by a time and await their answers."""
+        return self._running.awaited_since(time_s)
+
     def cancel(self, service, key_hash, request_id):
         """Cancel a request whose caller disconnected, if it still runs."""
         self._running.cancel(RequestKey(service, key_hash, request_id))
@@ -257,6 +262,7 @@
         self._sent_s = boottime_s()
         try:
             response = self._exchange(request, lines, body)
+            self._running.answered = True
             spent_s = boottime_s() - self._sent_s
             self._node.metrics.stage_ended(request.service_name, "server", spent_s)
             return self._reply(response)
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -17,6 +17,7 @@
 from comfreywharf.daemon.requests.members import Members
 from comfreywharf.daemon.requests.quarantine import NodeQuarantine, request_fingerprint
 from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.requests.server_load import ServerLoadWatch
 from comfreywharf.daemon.servers.statements import AnswerKind
 from comfreywharf.load import HotKeys, Standing
 from comfreywharf.load.admission import AdmissionState, Result
@@ -73,6 +74,7 @@
         self._admission = None
         self.cold = ColdLimit(began_s=node.process_start_s)
         self.rate_limit = ServerRateLimit()
+        self.server_load = ServerLoadWatch(node)
         self._bounds = ArrivalBounds(self.cold, self.rate_limit)
         self._orders_name_limit = False
         self._damaged_limit_reported = False
@@ -99,6 +101,7 @@
             self._incarnation = incarnation
             self._orders_name_limit = self._damaged_limit_reported = False
             self._report_limit(self.rate_limit.lift())
+            self.server_load.reset()
         self._begin_admission()
 
     def reset_admission(self):
@@ -325,6 +328,9 @@
         if slot is None or slot.refused is not None:
             return
         self.quarantine.record_end(slot, slot.result is Result.ANSWERED)
+        is_current = slot.admission is self._admission
+        if slot.result is Result.ANSWERED and is_current:
+            self.server_load.record_answer(slot.ticket.started_s, boottime_s())
         slot.admission.finish(slot)
 
     # At the ingress.
@@ -363,8 +369,11 @@
         elif not reply.reason and _is_marked(request):
             self.quarantine.clear_suspect(request_fingerprint(request, body))
 
-    def choose(self, request, body):
-        """Return the member that a request without a key goes to first."""
+    def choose(self, request, body, terms=None):
+        """Return the member that a request without a key goes to first.
+
+        ``terms`` are its `ChoiceTerms`.
+        """
         if not self.quarantine.is_empty():
             fingerprint = request_fingerprint(request, body)
             if self.quarantine.standing(fingerprint, boottime_s()) is Standing.SUSPECT:
@@ -372,7 +381,7 @@
                 # at several servers at a time, and crash all of them.
                 return self.members.designated(request.service_name, fingerprint)
         idempotent = request.method in SAFE_METHODS
-        return self.members.choose(request.service_name, (), idempotent)
+        return self.members.choose(request.service_name, (), idempotent, terms)
 
     # For the planner's report and the metrics.
 
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -8,6 +8,7 @@
 import attrs
 
 from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.requests.server_load import snapshot_from_message
 from comfreywharf.load import Absences, Ejector, MemberLoad
 from comfreywharf.load.choice import within_bounds
 from comfreywharf.routing import Outcome, Reason
@@ -45,12 +46,16 @@
 
 @attrs.frozen
 class SentRequest:
-    """A request in flight to a member; ``probe`` is true if the member was ejected."""
+    """A request in flight to a member; ``probe`` is true if the member was ejected.
+
+    ``announced_offset`` identifies the start of its server that was known then.
+    """
 
     service: str
     member: MemberLoad
     sent_s: float
     probe: bool
+    announced_offset: int
 
 
 class _ServiceMembers:
@@ -78,8 +83,11 @@
         self._services = {}
         self._random = random.Random(f"{node.settings.node_id} {node.incarnation}")
 
-    def choose(self, service, excluded=(), idempotent=True):
-        """Return the node id of a member, or an empty text if there is none."""
+    def choose(self, service, excluded=(), idempotent=True, terms=None):
+        """Return the node id of a member, or an empty text if there is none.
+
+        ``terms`` are the `ChoiceTerms` of the request, if the chooser needs them.
+        """
         now_s = boottime_s()
         group = self._current_members(service, now_s)
         present = group.present
@@ -92,7 +100,7 @@
         terms = group.cold_terms
         cold_per_s = terms.sustained_per_s if terms is not None else None
         usable = within_bounds(usable, cold_per_s, now_s, self._random)
-        return group.chooser.choose(usable, self._random).node_id
+        return group.chooser.choose(usable, self._random, terms).node_id
 
     def designated(self, service, fingerprint):
         """Return the member that runs a suspect, which is the same on all nodes."""
@@ -110,7 +118,8 @@
         if member is None:
             return None
         now_s = boottime_s()
-        sent = SentRequest(service, member, now_s, group.ejector.is_ejected(node_id))
+        probe = group.ejector.is_ejected(node_id)
+        sent = SentRequest(service, member, now_s, probe, member.announced_offset)
         member.begin()
         group.absences.record_sent(node_id)
         group.ejector.record_sent(member, now_s)
@@ -123,6 +132,7 @@
         group = self._services[sent.service]
         self._update_absences(group, sent, reply)
         _update_bounds(sent.member, reply, boottime_s())
+        _update_load(sent, reply, boottime_s())
         failed = _failed(reply)
         if failed is None:
             if reply is not None and reply.reason in _NO_ROOM:
@@ -244,6 +254,15 @@
         member.limited_until_s = float("-inf")
 
 
+def _update_load(sent, reply, now_s):
+    """Update a member's load, unless the reply is of an earlier start of its server."""
+    if reply is None or reply.load is None:
+        return
+    load = snapshot_from_message(reply.load)
+    if load is not None and sent.announced_offset == sent.member.announced_offset:
+        sent.member.record_load(load, now_s)
+
+
 def _failed(reply):
     """Return whether a reply is a failure of its member; ``None`` if it isn't known."""
     if reply is None:
--- a/comfreywharf/daemon/requests/running.py
+++ b/comfreywharf/daemon/requests/running.py
@@ -25,7 +25,8 @@
 class RunningRequest:
     """One request at the backend server.
 
-    ``sent`` is whether any of it may have been sent there. ``abort`` is a function that
+    ``sent`` is whether any of it may have been sent there, ``sent_s`` when it was sent
+    last, and ``answered`` whether its answer has begun. ``abort`` is a function that
     interrupts the current wait of the request, or ``None``; it is replaced as the
     request proceeds.
     """
@@ -37,12 +38,15 @@
         self.deadline_s = deadline_s
         self.slot = None
         self.sent = False
+        self.sent_s = None
+        self.answered = False
         self.cancelled = False
         self.abort = None
 
     def record_sent(self, now_s):
         """Record that the request is sent to the backend server now."""
         self.sent = True
+        self.sent_s = now_s
         if self.slot is not None:
             self.slot.record_sent(now_s)
 
@@ -68,6 +72,15 @@
     def __len__(self):
         return len(self._by_key)
 
+    def awaited_since(self, time_s):
+        """Return how many requests were sent by a time and await their answers."""
+        return sum(
+            running.sent_s is not None
+            and running.sent_s <= time_s
+            and not running.answered
+            for running in self._by_key.values()
+        )
+
     def enter(self, request, right, deadline_s):
         """Register a request that is about to be forwarded."""
         settings = self._node.settings
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -13,6 +13,7 @@
 from comfreywharf.records.tests.builders import make_member
 from comfreywharf.routes import RoutedService, RouteTable
 from comfreywharf.routing import Reason
+from comfreywharf.transport.gen.ttypes import ServerLoad
 
 COLD_TERMS = ColdTerms(requests_per_s=4.0)
 COLD_START_S = 3.0
@@ -139,3 +140,41 @@
         reply.limit_per_s = limit_per_s
         members.record_outcome(members.record_sent("files", name), reply)
     assert 0.15 < chosen_fraction(members, "a") < 0.25
+
+
+def load_reply():
+    """Return a refusal that tells a full server's load."""
+    reply = refusal(Reason.OVERLOADED)
+    reply.load = ServerLoad(running=3, waiting=5, slots=3, work_ms=100)
+    return reply
+
+
+def test_the_load_in_a_reply_is_kept_with_its_age():
+    """Guards against a refusal that tells nothing of the server."""
+    members = make_members(entry("a", "files", "10.0.0.4", 5))
+    members.choose("files")
+    members.record_outcome(members.record_sent("files", "a"), load_reply())
+    member = members._services["files"].members["a"]
+    assert member.load.present == 8
+    assert member.has_load(members_module.boottime_s())
+    assert not member.has_load(members_module.boottime_s() + 1.1)
+
+
+def test_a_late_reply_tells_nothing_of_a_restarted_server():
+    """Guards against a server that is avoided for the load of its earlier start."""
+    members = make_members(entry("a", "files", "10.0.0.4", 5))
+    members.choose("files")
+    sent = members.record_sent("files", "a")
+    member = members._services["files"].members["a"]
+    member.reset_measurements(announced_offset=9)
+    members.record_outcome(sent, load_reply())
+    assert member.load is None
+
+
+def test_a_reply_without_a_load_leaves_the_last_one():
+    """A node of an older build tells none, and an own refusal says nothing."""
+    members = make_members(entry("a", "files", "10.0.0.4", 5))
+    members.choose("files")
+    for reply in (load_reply(), refusal(Reason.PEER_LOST), None):
+        members.record_outcome(members.record_sent("files", "a"), reply)
+    assert members._services["files"].members["a"].load.present == 8
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -132,6 +132,20 @@
             "queue",
             "Answers of this node's backend server whose limit can't be read",
         ),
+        _family(
+            "damaged_loads_total",
+            _COUNTER,
+            "",
+            "queue",
+            "Answers of this node's backend server whose reported load can't be read",
+        ),
+        _family(
+            "backend_load_believed",
+            _GAUGE,
+            "",
+            "queue",
+            "0 while the load that this node's backend server reports isn't believed",
+        ),
         _family(
             "admission_refusals_total",
             _COUNTER,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -54,6 +54,7 @@
     evacuation_slices: int
     retry_tokens: dict[str, float]
     backend_limit_per_s: float | None = None
+    backend_load_believed: bool = True
 
 
 class Metrics:
@@ -74,6 +75,7 @@
         self.damaged_evacuations = 0
         self.unknown_names = defaultdict(int)
         self.damaged_limits = 0
+        self.damaged_loads = 0
         self.repeated_sends = defaultdict(int)
         self.refused_retries = defaultdict(int)
 
@@ -125,6 +127,10 @@
         """Count an answer whose limit can't be read."""
         self.damaged_limits += 1
 
+    def damaged_load_read(self):
+        """Count an answer whose load can't be read."""
+        self.damaged_loads += 1
+
     def unreadable_routes_received(self):
         """Count routes of a peer that couldn't be applied."""
         self.unreadable_routes += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -92,6 +92,8 @@
         "damaged_evacuations_total": _unlabelled(metrics.damaged_evacuations),
         "backend_limit_per_second": _if_known(gauges.backend_limit_per_s),
         "damaged_limits_total": _unlabelled(metrics.damaged_limits),
+        "damaged_loads_total": _unlabelled(metrics.damaged_loads),
+        "backend_load_believed": _unlabelled(int(gauges.backend_load_believed)),
         "unknown_names_total": _with_one_label(metrics.unknown_names),
         "evacuated_domains": _unlabelled(gauges.evacuated_domains),
         "evacuation_slices": _unlabelled(gauges.evacuation_slices),
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -18,7 +18,7 @@
 from comfreywharf.daemon.ports import Ports
 from comfreywharf.daemon.records.follower import ReadOptions
 from comfreywharf.daemon.servers.backend_lifecycle import BackendLifecycle
-from comfreywharf.load import ConcurrencyLimit, NearFirst
+from comfreywharf.load import ByReportedLoad, ConcurrencyLimit, NearFirst
 from comfreywharf.load.admission import RetryAfter
 from comfreywharf.load.coldstart import ColdTerms
 from comfreywharf.load.fairqueue import RankedQueue
@@ -70,6 +70,9 @@
 """A server that refuses a part of its requests although it has slots may accept the
 next attempt. After 0.3 s, a lookup that takes 120 ms misses its target of 400 ms."""
 
+HEALTH_CONTRACT = "health"
+"""The contract under which servers report their load, and are chosen by it."""
+
 RELEASE_TIMEOUT_S = 5.0
 """How long a release waits until the server has finished its work on the range."""
 
@@ -111,6 +114,7 @@
         )
         self.routes_apply_s = settings.routes_apply_s
         self.evacuate_s = settings.evacuate_s
+        self.chooses_by_load = HEALTH_CONTRACT in settings.contracts
         self.caller_server = None
         self.lifecycle = None
         self._routes = None
@@ -205,7 +209,7 @@
 
     def make_chooser(self):
         """Return a choice of members that saves traffic between zones."""
-        return NearFirst()
+        return ByReportedLoad() if self.chooses_by_load else NearFirst()
 
     def make_limit(self, slots):
         """Return a constant limit of ``slots``, without ramp-up and without reduction.
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -206,8 +206,10 @@
         path,
         services=("booking", "booking", "booking", "stock"),
         grants="direct",
+        contracts="",
     ):
         self.grants = grants
+        self._contracts = contracts
         self.store = PlatformStore()
         self.ledger = []
         self.nodes = {}
@@ -245,7 +247,7 @@
         self.ports[name] = ports
         path = self._path / f"{name}.conf"
         text = boot_text(name, zone, service, ports, self.store.port, self.grants)
-        path.write_text(text)
+        path.write_text(f"{text}terms.contracts={self._contracts}\n")
         settings = read_boot_file(path).unwrap()
         node = Node(settings.node, PlatformPorts(settings))
         node.start()
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -6,6 +6,7 @@
 import pytest
 from returns.result import Failure
 
+from comfreywharf.load import ByReportedLoad
 from comfreywharf.platform.configuration import route_table
 from comfreywharf.platform.durations import duration_s, duration_text
 from comfreywharf.platform.ports import PlatformPorts
@@ -154,3 +155,23 @@
     """The node doesn't start with a bound that can't be meant."""
     found = read(tmp_path, boot_text() + f"terms.bounds.coldOverage={text}\n")
     assert "coldOverage" in found.failure()[0]
+
+
+@pytest.mark.parametrize(
+    ("line", "by_load"),
+    [
+        ("", False),
+        ("terms.contracts=\n", False),
+        ("terms.contracts=pressure\n", False),
+        ("terms.contracts=healthy\n", False),
+        ("terms.contracts=health\n", True),
+        ("terms.contracts=pressure, health\n", True),
+    ],
+)
+def test_servers_are_chosen_by_load_where_the_contracts_name_it(
+    tmp_path, line, by_load
+):
+    """Guards against a change for deployments whose servers report no load."""
+    ports = PlatformPorts(read(tmp_path, boot_text() + line).unwrap())
+    assert ports.chooses_by_load == by_load
+    assert isinstance(ports.make_chooser(), ByReportedLoad) == by_load
--- a/comfreywharf/settings/model.py
+++ b/comfreywharf/settings/model.py
@@ -21,7 +21,9 @@
     else about other nodes. ``backend_port`` listens on loopback only.
     ``drift_per_mille`` bounds how much faster one machine's clock runs than
     another's. ``advertised_peer_port`` is the port at which other nodes reach the
-    peer port, if address translation changes it; 0 stands for ``peer_port``.
+    peer port, if address translation changes it; 0 stands for ``peer_port``. With
+    ``choose_by_load``, servers of services that aren't divided by key are chosen by the
+    load that their nodes tell.
     """
 
     node_id: str
@@ -38,3 +40,4 @@
     lease_ms: int = 1000
     drift_per_mille: int = 5
     advertised_peer_port: int = 0
+    choose_by_load: bool = False
