Give the chooser what a request needs, not the terms of cold servers

`Members.choose` kept the service's cold terms under the name of its argument, so that the chooser got these. The test fails without the fix.

--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -97,8 +97,8 @@
         if not present:
             return ""
         usable = group.ejector.usable(present, now_s, idempotent)
-        terms = group.cold_terms
-        cold_per_s = terms.sustained_per_s if terms is not None else None
+        cold = group.cold_terms
+        cold_per_s = cold.sustained_per_s if cold is not None else None
         usable = within_bounds(usable, cold_per_s, now_s, self._random)
         return group.chooser.choose(usable, self._random, terms).node_id
 
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -3,11 +3,13 @@
 from types import SimpleNamespace
 
 import attrs
+import pytest
 
 from comfreywharf.daemon.requests import members as members_module
 from comfreywharf.daemon.requests.members import Members
 from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.load import TwoChoices
+from comfreywharf.load.choice import ChoiceTerms
 from comfreywharf.load.coldstart import ColdTerms
 from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.records.tests.builders import make_member
@@ -19,7 +21,7 @@
 COLD_START_S = 3.0
 
 
-def make_members(*entries, cold_terms=None):
+def make_members(*entries, cold_terms=None, make_chooser=TwoChoices):
     """Return the `Members` of a node that has folded these entries."""
     state = SimpleNamespace(members={entry.node_id: entry for entry in entries})
     service = RoutedService(name="files", cold_start_s=COLD_START_S)
@@ -31,7 +33,7 @@
             evacuations=Evacuations(bound_s=5.0),
             routes=SimpleNamespace(table=RouteTable(services=(service,))),
             ports=SimpleNamespace(
-                make_chooser=TwoChoices, cold_terms=lambda service: cold_terms
+                make_chooser=make_chooser, cold_terms=lambda service: cold_terms
             ),
         )
     )
@@ -178,3 +180,25 @@
     for reply in (load_reply(), refusal(Reason.PEER_LOST), None):
         members.record_outcome(members.record_sent("files", "a"), reply)
     assert members._services["files"].members["a"].load.present == 8
+
+
+class RecordingChooser(TwoChoices):
+    """Keep the terms of the last choice."""
+
+    def choose(self, members, rng, terms=None):
+        """Return a random member."""
+        self.terms = terms
+        return rng.choice(members)
+
+
+@pytest.mark.parametrize("cold_terms", [None, COLD_TERMS])
+def test_the_chooser_is_told_what_a_request_needs(cold_terms):
+    """Guards against a choice by load that has the terms of cold servers, or none."""
+    chooser = RecordingChooser()
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("ab")]
+    members = make_members(
+        *entries, cold_terms=cold_terms, make_chooser=lambda: chooser
+    )
+    terms = ChoiceTerms(now_s=1.0, target_s=0.5)
+    assert members.choose("files", terms=terms) in {"a", "b"}
+    assert chooser.terms is terms
