Keep a near server while an answer is expected within half of the target

The estimate is a mean, and a request that takes several times as long misses its target at a server whose estimate is just within it.

--- a/comfreywharf/load/choice.py
+++ b/comfreywharf/load/choice.py
@@ -31,6 +31,11 @@
 is still chosen."""
 
 
+NEAR_TARGET_SHARE = 0.5
+"""The share of its latency target within which a request's answer is expected of a near
+server. The estimate is a mean, and some requests take several times as long."""
+
+
 @attrs.frozen(kw_only=True)
 class ChoiceTerms:
     """What a request needs of the server that is chosen for it.
@@ -53,7 +58,7 @@
         late anyway.
         """
         if self.target_s is not None and self.target_s > 0:
-            return self.target_s
+            return NEAR_TARGET_SHARE * self.target_s
         return self.remaining_s if self.long_body else 0.0
 
 
