Derive the admission level of an overloaded server, and decide by it

An owner alone refuses requests of an overloaded service only after they crossed the network, and callers who retry at once get more than those who wait.

Without an overload nothing is refused.

--- /dev/null
+++ b/comfreywharf/load/tests/test_overload.py
@@ -0,0 +1,227 @@
+"""The level of one server, and what ingress nodes make of the levels of several."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from comfreywharf.load.fleetlevels import Attempt, ServiceAdmission
+from comfreywharf.load.overload import (
+    FORWARDED_FRACTION,
+    MIN_SHARE,
+    Level,
+    ServerOverload,
+    fractions_by_rank,
+)
+from comfreywharf.load.returns import (
+    MIN_WAIT_S,
+    Precedence,
+    ReturnSchedule,
+    RouteAttempts,
+    admitted_by_precedence,
+)
+
+WORK_S = 0.1
+RANKS = st.integers(0, 3)
+LEVELS = st.none() | st.builds(Level, RANKS, st.floats(0, 1))
+
+
+def attempt(rank=2, owner="", remaining_s=5.0, target_left_s=None):
+    """Return one request as it arrives at an ingress node."""
+    return Attempt(
+        route=f"route {rank}",
+        rank=rank,
+        owner=owner,
+        remaining_s=remaining_s,
+        target_left_s=target_left_s,
+    )
+
+
+def load(overload, per_s, since_s, until_s, waiting=0, nested=False):
+    """Have requests of rank 2 arrive; return the last level."""
+    level = None
+    for number in range(round(since_s * per_s), round(until_s * per_s)):
+        now_s = number / per_s
+        overload.record_arrival(2, "k", now_s, nested=nested, target_left_s=0.5)
+        level = overload.update(["k"] * waiting, now_s)
+    return level
+
+
+def overload_of(slots=4):
+    """Return the state of a server whose requests take `WORK_S`."""
+    overload = ServerOverload(slots)
+    overload.record_work("k", WORK_S)
+    return overload
+
+
+@given(
+    demand=st.dictionaries(RANKS, st.floats(0.01, 50), min_size=1),
+    capacity=st.floats(0, 50),
+)
+@settings(derandomize=True, deadline=None)
+def test_more_urgent_ranks_get_more_and_each_gets_its_minimum(demand, capacity):
+    """Guards against a rank that is refused for a less urgent one, or starved."""
+    fractions = fractions_by_rank(demand, capacity)
+    in_order = [fractions[rank] for rank in sorted(demand)]
+    assert in_order == sorted(in_order, reverse=True)
+    together = min(1.0, capacity / sum(demand.values()))
+    assert min(in_order) >= MIN_SHARE * together * 0.999
+    taken = sum(demand[rank] * fractions[rank] for rank in demand)
+    assert taken <= capacity * 1.001 or set(in_order) == {1.0}
+
+
+def test_a_level_is_set_only_if_requests_also_wait():
+    """Guards against a level for demand that the server does in time."""
+    assert load(overload_of(), per_s=80, since_s=0, until_s=2) is None
+    assert load(overload_of(), per_s=30, since_s=0, until_s=2, waiting=40) is None
+    level = load(overload_of(), per_s=80, since_s=0, until_s=2, waiting=40)
+    assert level.rank == 2
+    assert level.fraction < 0.7
+
+
+def test_a_level_ends_within_a_second_of_its_overload():
+    """Guards against requests that are refused long after an overload."""
+    overload = overload_of()
+    assert load(overload, per_s=80, since_s=0, until_s=2, waiting=40) is not None
+    assert load(overload, per_s=30, since_s=2, until_s=3) is None
+
+
+def test_a_level_is_forgotten_by_a_node_that_was_paused():
+    """Guards against a level derived from what arrived before a pause."""
+    overload = overload_of()
+    assert load(overload, per_s=80, since_s=0, until_s=2, waiting=40) is not None
+    assert overload.update(["k"] * 40, now_s=12.0) is None
+
+
+def test_late_requests_are_no_demand():
+    """Guards against a level that lasts as long as refused callers return."""
+    overload = overload_of()
+    for number in range(200):
+        now_s = number / 80
+        overload.record_arrival(2, "k", now_s, target_left_s=0.0)
+        assert overload.update([], now_s) is None
+
+
+def test_one_request_that_hangs_is_no_overload():
+    """Guards against a level because of one request that took a minute."""
+    overload = overload_of()
+    overload.record_work("k", 60.0)
+    assert load(overload, per_s=20, since_s=0, until_s=2, waiting=20) is None
+
+
+def test_nested_calls_take_precedence_over_all_ranks():
+    """Guards against a level that admits more than what nested calls leave."""
+    levels = []
+    for nested_per_s in (0, 20):
+        overload = overload_of()
+        for number in range(160):
+            now_s = number / 80
+            overload.record_arrival(2, "k", now_s, target_left_s=0.5)
+            if nested_per_s and not number % (80 // nested_per_s):
+                overload.record_arrival(1, "k", now_s, nested=True)
+            level = overload.update(["k"] * 40, now_s)
+        levels.append(level)
+    assert levels[1].fraction < levels[0].fraction
+
+
+@given(stated=st.lists(LEVELS, min_size=1, max_size=5), keyed=st.booleans())
+@settings(derandomize=True, deadline=None, max_examples=60)
+def test_an_urgent_rank_is_never_refused_for_a_less_urgent_one(stated, keyed):
+    """Guards against servers without a level that admit what others refuse.
+
+    Beyond their minimum and the forwarded requests, less urgent ranks are admitted
+    only if no more urgent one is refused.
+    """
+    service = ServiceAdmission(random.Random(1))
+    refused, count = Counter(), 300
+    for number in range(count):
+        now_s = number / 100
+        for server, level in enumerate(stated):
+            service.record_level(f"n{server}", level, 0.5, now_s)
+        for rank in range(4):
+            tried = attempt(rank, "n0" if keyed else "")
+            if number >= 100 and service.refused_wait_s(tried, now_s) is not None:
+                refused[rank] += 1
+            elif number < 100:
+                service.refused_wait_s(tried, now_s)
+    highest = MIN_SHARE + FORWARDED_FRACTION + 0.05
+    for rank in range(3):
+        if refused[rank] > 0.05 * (count - 100):
+            for other in range(rank + 1, 4):
+                assert 1 - refused[other] / (count - 100) <= highest
+
+
+def test_levels_of_other_owners_dont_count_for_a_key():
+    """Guards against requests that are refused for the overload of another owner."""
+    service = ServiceAdmission(random.Random(1))
+    service.record_level("a", Level(0, 0.0), 0.5, now_s=0.0)
+    waits = [service.refused_wait_s(attempt(owner="b"), 0.1) for _ in range(50)]
+    assert set(waits) == {None}
+
+
+def test_a_level_expires():
+    """Guards against a lost server whose last level is applied for good."""
+    service = ServiceAdmission(random.Random(1))
+    service.record_level("a", Level(0, 0.0), valid_s=60.0, now_s=0.0)
+    waits = [service.refused_wait_s(attempt(owner="a"), 0.9) for _ in range(50)]
+    assert sum(wait_s is not None for wait_s in waits) > 20
+    assert service.refused_wait_s(attempt(owner="a"), 1.1) is None
+    assert service.stated(1.1) is None
+
+
+def test_some_requests_above_a_level_are_forwarded():
+    """Guards against a level that is never measured again."""
+    service = ServiceAdmission(random.Random(1))
+    service.record_level("a", Level(1, 1.0), 1.0, now_s=0.0)
+    tried = [attempt(rank=3, owner="a") for _ in range(400)]
+    waits = [service.refused_wait_s(each, 0.5) for each in tried]
+    forwarded = waits.count(None) / len(waits)
+    assert forwarded >= FORWARDED_FRACTION
+    assert forwarded <= FORWARDED_FRACTION + MIN_SHARE + 0.02
+
+
+@pytest.mark.parametrize("admitted_per_s", [3.0, 20.0])
+def test_returns_in_one_second_dont_exceed_what_is_admitted(admitted_per_s):
+    """Guards against callers who come back together."""
+    schedule = ReturnSchedule(random.Random(1))
+    due_s, now_s = [], 0.0
+    # Refusals that the bounds of callers leave room for.
+    while now_s < 5:
+        wait_s = schedule.wait_s(admitted_per_s, 6.0, 3.0, now_s)
+        assert MIN_WAIT_S <= wait_s <= 2.0
+        due_s.append(now_s + wait_s)
+        now_s += 2.5 / admitted_per_s
+    for since_s in due_s:
+        together = sum(since_s <= each < since_s + 1 for each in due_s)
+        assert together <= admitted_per_s
+
+
+def test_waits_keep_their_bounds_when_all_returns_are_booked():
+    """Guards against callers who are told to wait beyond their deadlines."""
+    schedule = ReturnSchedule(random.Random(1))
+    for remaining_s in (0.2, 1.5, 5.0):
+        for _ in range(200):
+            wait_s = schedule.wait_s(2.0, remaining_s, 1.0, now_s=0.0)
+            assert min(MIN_WAIT_S, remaining_s / 3) <= wait_s <= remaining_s / 3
+
+
+def test_returns_after_their_wait_precede_first_attempts():
+    """Guards against callers who gain by not waiting."""
+    arrivals = dict.fromkeys(Precedence, 1.0)
+    admitted = admitted_by_precedence(0.5, arrivals)
+    assert admitted[Precedence.WAITED] == 1.0
+    assert admitted[Precedence.FIRST] == 0.5
+    assert admitted[Precedence.EARLY] == 0.0
+
+
+def test_an_unusual_deadline_is_forgotten():
+    """Guards against first attempts that look like returns for good."""
+    attempts = RouteAttempts()
+    attempts.record_wait(0.3, now_s=0.0)
+    attempts.precedence(60.0, late=False, now_s=0.0)
+    assert attempts.precedence(2.0, late=False, now_s=0.1) is Precedence.WAITED
+    for now_s in (5.0, 10.0, 15.0):
+        attempts.record_wait(0.3, now_s)
+        last = attempts.precedence(2.0, late=False, now_s=now_s)
+    assert last is Precedence.FIRST
