State admission levels in replies, and refuse by them where requests arrive

With the switch on, a node states the level of the server beside it in ForwardReply and refuses a request above the level of its key's owner, or above the mean of the service's servers, before its body is read: reason overloaded, outcome not-run, with a Retry-After. Levels are dropped with their owner and expire after 0.5 s by the receiving node's clock.

The switch is Ports.fleet_admission: off by default, [load] fleet_admission in the INI settings, and on the platform terms.contracts naming pressure. Event 518, gauges of the strictest level by service, and a counter of refusals by service and rank. A request carries the name of its route to the ingress, by which its retries are recognised.

The tests of settings and of the scrape list the new key and families.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -27,6 +27,7 @@
 )
 from comfreywharf.daemon.records.snapshots import SnapshotWriter
 from comfreywharf.daemon.requests.dispatch import Dispatcher
+from comfreywharf.daemon.requests.fleet_admission import FleetAdmission
 from comfreywharf.daemon.requests.forwarder import Forwarder
 from comfreywharf.daemon.requests.ingress import Ingress
 from comfreywharf.daemon.requests.load import Load
@@ -115,6 +116,7 @@
         self.load_reports.cold_requests_per_s = self.load.cold_requests_per_s
         self.load_reports.limit_per_s = lambda: self.load.rate_limit.limit_per_s
         self.forwarder = Forwarder(self)
+        self.fleet_admission = FleetAdmission(self)
         self.ingress = Ingress(self, Dispatcher(self, self.ports.route_limits))
         self.ownership = OwnershipTracker(settings.node_id)
         self.meter = Meter(self)
--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -98,6 +98,7 @@
             retry_tokens=node.ingress.retry_tokens,
             backend_slots=node.backend.announcement.slots if node.backend else 0,
             backend_limit_per_s=node.load.rate_limit.limit_per_s,
+            admission_levels=node.fleet_admission.levels(now_s),
             waiting_requests=node.ingress.running,
             streams=node.ingress.streaming,
             lease_held=held,
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -41,6 +41,8 @@
       of a service that routes lead to.
     - ``refused_retry_after_ms``: the retry delay in an answer to a request that the
       backend server itself refused.
+    - ``fleet_admission``: nodes refuse requests for an overloaded service where they
+      arrive, by the admission levels that its servers' nodes state.
     - ``routes_apply_s``: the time in seconds within which a change of the routes has
       to be in force.
     - ``evacuate_s``: the time in seconds after an order to evacuate a failure domain
@@ -58,6 +60,7 @@
     removes_lost_nodes = False
     retry_fraction = DEFAULT_RETRY_FRACTION
     refused_retry_after_ms = 1000
+    fleet_admission = False
     routes_apply_s = float("inf")
     evacuate_s = 5.0
 
@@ -127,6 +130,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._dialect = OwnDialect()
+        self.fleet_admission = settings.fleet_admission
 
     @property
     def dialect(self):
--- a/comfreywharf/daemon/requests/caller_requests.py
+++ b/comfreywharf/daemon/requests/caller_requests.py
@@ -51,12 +51,14 @@
     """The message to the owner without its body, and the requested service.
 
     ``may_be_nested`` is whether it may be a call that the backend server beside this
-    node makes while it runs another request.
+    node makes while it runs another request. ``route`` is the name of the route that
+    led to the service, if it has one.
     """
 
     request: ForwardRequest
     service: ServiceConfig
     may_be_nested: bool = False
+    route: str = ""
 
 
 def parse_request(environ, services) -> Result[CallerRequest, Reason]:
--- a/comfreywharf/daemon/requests/caller_watch.py
+++ b/comfreywharf/daemon/requests/caller_watch.py
@@ -26,16 +26,17 @@
 class Call:
     """A caller's request while it is served.
 
-    ``may_be_nested`` is as in `CallerRequest`. ``target`` is the node that currently
-    has the request. ``target_deadline_s`` is the time by which an answer meets the
-    latency target, ``None`` if there is no target.
-    ``arrivals`` is how often the request may have reached a backend server. ``gone`` is
-    true once the caller has disconnected.
+    ``may_be_nested`` and ``route`` are as in `CallerRequest`. ``target`` is the node
+    that currently has the request. ``target_deadline_s`` is the time by which an
+    answer meets the latency target, ``None`` if there is no target. ``arrivals`` is
+    how often the request may have reached a backend server. ``gone`` is true once the
+    caller has disconnected.
     """
 
     request: ForwardRequest
     service: ServiceConfig
     may_be_nested: bool = attrs.field(default=False, kw_only=True)
+    route: str = attrs.field(default="", kw_only=True)
     body: bytes | CallerBody
     sock: object
     began_s: float
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -263,7 +263,7 @@
             return refusal(Reason.NO_OWNER), None
         try:
             if target == self._node.settings.node_id:
-                return self._serve_locally(request, call.body, now_s)
+                return self._serve_locally(call, now_s)
             client = self._node.peers.client(target)
             if client is None:
                 return refusal(Reason.NO_OWNER), None
@@ -271,8 +271,9 @@
         except BodyError as error:
             return self._body_failed(call, error)
 
-    def _serve_locally(self, request, body, now_s):
-        served = self._node.forwarder.serve(request, body, now_s)
+    def _serve_locally(self, call, now_s):
+        served = self._node.forwarder.serve(call.request, call.body, now_s)
+        self._node.fleet_admission.record_reply(call, served.reply)
         body_stream = LocalAnswerBody(served.stream) if served.stream else None
         return served.reply, body_stream
 
@@ -290,6 +291,7 @@
                 reply = send_upload(client, call, timeout_s)
         except CallError as error:
             return self._call_failed(call, error), None
+        self._node.fleet_admission.record_reply(call, reply)
         if reply.leaving is not None:
             leaving = from_message(reply.leaving, boottime_s())
             node.leaving_servers.record(call.target, leaving)
--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -86,6 +86,7 @@
             node.ports.server_leaves(from_message(request.leaving, now_s))
         served = self._serve(request, body, now_s)
         served.reply.leaving = to_message(node.leaving_backend, boottime_s())
+        served.reply.admission = node.load.admission_level(request.service_name)
         if not request.key:
             # Other nodes choose among the servers by what their replies tell.
             cold_left_s = node.load.cold.cold_left_s(boottime_s())
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -102,11 +102,7 @@
         call = self._create_call(parsed, sock, now_s)
         self.watch.enter(call)
         try:
-            refused = self._read_body(source, call)
-            if refused is not None:
-                reply, body_stream = refusal(refused), None
-            else:
-                reply, body_stream = self._dispatcher.dispatch(call)
+            reply, body_stream = self._dispatch(source, call, now_s)
         except Exception:
             # The error may have occurred after the request was sent.
             logging.exception("unexpected error while serving a caller's request")
@@ -119,6 +115,19 @@
             return reply, None
         return reply, self._stream_to_caller(body_stream.parts(reply.body), call.sock)
 
+    def _dispatch(self, source, call, now_s):
+        """Return ``(reply, body_stream)``.
+
+        The body of a request that is refused by a level isn't read.
+        """
+        refused = self._node.fleet_admission.refuse(call, now_s)
+        if refused is not None:
+            return refused, None
+        reason = self._read_body(source, call)
+        if reason is not None:
+            return refusal(reason), None
+        return self._dispatcher.dispatch(call)
+
     def _stream_to_caller(self, parts, sock):
         """Yield the parts of an answer; reset the caller's connection on an error."""
         self._streaming += 1
@@ -139,6 +148,7 @@
             request=request,
             service=parsed.service,
             may_be_nested=parsed.may_be_nested,
+            route=parsed.route,
             body=b"",
             sock=sock,
             began_s=now_s,
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -14,6 +14,7 @@
     collect,
     is_collected,
 )
+from comfreywharf.daemon.requests.fleet_admission import ServerLevel
 from comfreywharf.daemon.requests.members import Members
 from comfreywharf.daemon.requests.quarantine import NodeQuarantine, request_fingerprint
 from comfreywharf.daemon.requests.replies import refusal
@@ -71,6 +72,7 @@
         self._node = node
         self._random = random.Random(f"load {node.settings.node_id} {node.incarnation}")
         self._admission = None
+        self._level = None
         self.cold = ColdLimit(began_s=node.process_start_s)
         self.rate_limit = ServerRateLimit()
         self._bounds = ArrivalBounds(self.cold, self.rate_limit)
@@ -174,7 +176,7 @@
     def _begin_admission(self):
         if self._admission is not None:
             self._admission.close()
-        self._admission = None
+        self._admission = self._level = None
         backend = self._node.backend
         if backend is not None:
             slots = max(backend.announcement.slots, 1)
@@ -190,6 +192,9 @@
                 retry_after=self._node.ports.retry_after,
             )
             self._admission = Admission(state)
+            if self._node.ports.fleet_admission:
+                service = backend.announcement.service
+                self._level = ServerLevel(self._node, service, state)
 
     # At the owner.
 
@@ -224,6 +229,7 @@
             if slot.refused is None:
                 flow = right.key_hash or None
                 admission.enter(slot, flow, running.deadline_s, alone, boottime_s())
+            self._record_arrival(slot)
             if slot.decision_event is not None:
                 self._wait(slot, running)
         if slot.refused is None and running.right is not right:
@@ -234,6 +240,18 @@
             self._count_shed(request.service_name)
         return slot
 
+    def _record_arrival(self, slot):
+        """Record the demand, except what is passed on and counted elsewhere."""
+        passed_on = slot.refused is not None and slot.request.max_wait_ms is not None
+        if self._level is not None and not passed_on:
+            self._level.record_arrival(slot.request, boottime_s())
+
+    def admission_level(self, service):
+        """Return the server's `AdmissionLevel` for a reply; ``None`` if it has none."""
+        if self._level is None:
+            return None
+        return self._level.message(service, boottime_s())
+
     def _collect(self, slot, running, admission, stack):
         """Collect the body of the slot's request, unless the request is refused first.
 
@@ -325,6 +343,8 @@
         if slot is None or slot.refused is not None:
             return
         self.quarantine.record_end(slot, slot.result is Result.ANSWERED)
+        if self._level is not None:
+            self._level.record_work(slot, boottime_s())
         slot.admission.finish(slot)
 
     # At the ingress.
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -245,6 +245,27 @@
             "evacuations",
             "Slices that nodes in evacuated failure domains still own",
         ),
+        _family(
+            "level_refusals_total",
+            _COUNTER,
+            "service rank",
+            "queue",
+            "Requests that were refused where they arrived, by their service's level",
+        ),
+        _family(
+            "admission_level_rank",
+            _GAUGE,
+            "service",
+            "queue",
+            "Least urgent rank that the strictest level known here admits",
+        ),
+        _family(
+            "admission_level_fraction",
+            _GAUGE,
+            "service",
+            "queue",
+            "Fraction of that rank's requests that the strictest level admits",
+        ),
         _family(
             "loop_late_seconds",
             _HISTOGRAM,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -54,6 +54,7 @@
     evacuation_slices: int
     retry_tokens: dict[str, float]
     backend_limit_per_s: float | None = None
+    admission_levels: dict[str, tuple[int, float]] = attrs.Factory(dict)
 
 
 class Metrics:
@@ -76,6 +77,7 @@
         self.damaged_limits = 0
         self.repeated_sends = defaultdict(int)
         self.refused_retries = defaultdict(int)
+        self.level_refusals = defaultdict(int)
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -90,6 +92,10 @@
         """Count a request that got no slot of this node's backend server."""
         self.admission_refusals[service, reason] += 1
 
+    def refused_by_level(self, service, rank):
+        """Count a request that was refused where it arrived, by its service's level."""
+        self.level_refusals[service, str(rank)] += 1
+
     def backend_request_sent(self, service):
         """Count a request that was sent to this node's backend server."""
         self.backend_requests[service] += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -75,6 +75,13 @@
         "backend_running_requests": _unlabelled(gauges.backend_running_requests),
         "backend_slots": _unlabelled(gauges.backend_slots),
         "admission_refusals_total": metrics.admission_refusals,
+        "level_refusals_total": metrics.level_refusals,
+        "admission_level_rank": _with_one_label(
+            {name: rank for name, (rank, _) in gauges.admission_levels.items()}
+        ),
+        "admission_level_fraction": _with_one_label(
+            {name: fraction for name, (_, fraction) in gauges.admission_levels.items()}
+        ),
         "waiting_requests": _unlabelled(gauges.waiting_requests),
         "streams": _unlabelled(gauges.streams),
         "lease_held": _unlabelled(int(gauges.lease_held)),
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -28,6 +28,7 @@
     evacuated_domains=1,
     evacuation_slices=6,
     retry_tokens={"booking": 1.5},
+    admission_levels={"booking": (2, 0.4)},
 )
 
 SAMPLE = re.compile(r'[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? [0-9.e+-]+')
@@ -45,6 +46,7 @@
     metrics.backend_request_sent(service)
     metrics.request_sent_again(service, "not-yet-owner")
     metrics.retry_refused(service)
+    metrics.refused_by_level(service, 2)
     metrics.loop_woke(0.003)
     metrics.event_reported("lease_lapsed", "warning")
     metrics.unknown_name_read("heartbeat")
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -147,7 +147,7 @@
             target_ms=self._target_ms(head, route),
         )
         may_be_nested = origin.may_be_nested(part.service, self._caller_service)
-        return Success(CallerRequest(request, service, may_be_nested))
+        return Success(CallerRequest(request, service, may_be_nested, route.name))
 
     def _target_ms(self, head, route):
         """Return the time left until the latency target, in ms; 1 if it has passed.
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -70,6 +70,9 @@
 """A server that refuses a part of its requests although it has slots may accept the
 next attempt. After 0.3 s, a lookup that takes 120 ms misses its target of 400 ms."""
 
+PRESSURE = "pressure"
+"""The contract of deployments in which callers compete for the services' capacity."""
+
 RELEASE_TIMEOUT_S = 5.0
 """How long a release waits until the server has finished its work on the range."""
 
@@ -109,6 +112,7 @@
             ),
             resends=RESENDS,
         )
+        self.fleet_admission = PRESSURE in settings.contracts
         self.routes_apply_s = settings.routes_apply_s
         self.evacuate_s = settings.evacuate_s
         self.caller_server = None
--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -206,8 +206,10 @@
         path,
         services=("booking", "booking", "booking", "stock"),
         grants="direct",
+        further_settings="",
     ):
         self.grants = grants
+        self._further_settings = further_settings
         self.store = PlatformStore()
         self.ledger = []
         self.nodes = {}
@@ -245,7 +247,7 @@
         self.ports[name] = ports
         path = self._path / f"{name}.conf"
         text = boot_text(name, zone, service, ports, self.store.port, self.grants)
-        path.write_text(text)
+        path.write_text(text + self._further_settings)
         settings = read_boot_file(path).unwrap()
         node = Node(settings.node, PlatformPorts(settings))
         node.start()
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -154,3 +154,19 @@
     """The node doesn't start with a bound that can't be meant."""
     found = read(tmp_path, boot_text() + f"terms.bounds.coldOverage={text}\n")
     assert "coldOverage" in found.failure()[0]
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("", False),
+        ("terms.contracts=health\n", False),
+        ("terms.contracts=health,pressure\n", True),
+        ("terms.contracts=pressure\n", True),
+        ("terms.contracts=pressures\n", False),
+    ],
+)
+def test_the_contract_of_competing_callers_enables_levels(tmp_path, line, expected):
+    """Guards against a change for deployments without the contract."""
+    ports = PlatformPorts(read(tmp_path, boot_text() + line).unwrap())
+    assert ports.fleet_admission is expected
--- a/comfreywharf/settings/model.py
+++ b/comfreywharf/settings/model.py
@@ -22,6 +22,7 @@
     ``drift_per_mille`` bounds how much faster one machine's clock runs than
     another's. ``advertised_peer_port`` is the port at which other nodes reach the
     peer port, if address translation changes it; 0 stands for ``peer_port``.
+    ``fleet_admission`` is as in `Ports`.
     """
 
     node_id: str
@@ -38,3 +39,4 @@
     lease_ms: int = 1000
     drift_per_mille: int = 5
     advertised_peer_port: int = 0
+    fleet_admission: bool = False
