--- a/comfreywharf/daemon/requests/fleet_admission.py
+++ b/comfreywharf/daemon/requests/fleet_admission.py
@@ -65,7 +65,9 @@
             return None
         state = self._state
         self._overload.slots = state.limit.max_in_flight()
-        waiting = (ticket.kind for ticket in state.queue if not ticket.late)
+        waiting = (
+            (ticket.rank, ticket.kind) for ticket in state.queue if not ticket.late
+        )
         level = self._overload.update(waiting, now_s)
         if level is not self._reported:
             self._report_change(level, now_s)
--- a/comfreywharf/load/overload.py
+++ b/comfreywharf/load/overload.py
@@ -41,12 +41,16 @@
 without missing their targets. With a shorter queue, slots would run idle between
 clumps; with a longer one, requests are answered late."""
 
+MIN_WANTED_S = 0.05
+"""Lower bound on the wanted wait of a rank whose requests have no time to wait."""
+
 LONGEST_DECAY = 0.01
 """Decay of the longest time that requests may wait, with each request."""
 
-ADJUST_S = 2.0
+ADJUSTMENT = 0.4
 MAX_ADJUSTMENT = 0.2
-"""The wait is corrected within `ADJUST_S`, by at most this fraction of the slots."""
+"""A wait that is off by its wanted length changes what is admitted by the first
+fraction of the slots, and any wait by at most the second."""
 
 MIN_SHARE = 0.25
 """Each rank keeps this share of the fraction that all requests together get."""
@@ -63,6 +67,10 @@
 """Bound on the demand relative to the capacity. If nodes of an earlier build ignore
 the level, the demand that is derived from it would otherwise grow without bound."""
 
+URGENT_PRESSURE = 0.1
+"""The wait below which a level is relaxed that refuses more than the least urgent
+rank, relative to the wanted wait."""
+
 RELAX_FACTOR = 2.0
 """Factor by which a level is relaxed in each window with spare capacity."""
 
@@ -129,7 +137,7 @@
     >>> overload.record_work("lookup", 0.1)
     >>> for number in range(40):
     ...     overload.record_arrival(2, "lookup", number / 20, target_left_s=0.5)
-    ...     level = overload.update(["lookup"] * 9, number / 20)
+    ...     level = overload.update([(2, "lookup")] * 9, number / 20)
     >>> level.rank, level.fraction < 0.5
     (2, True)
     """
@@ -143,7 +151,7 @@
     _demand: dict = attrs.Factory(dict)
     _nested_demand: float = 0.0
     _in_force: dict = attrs.Factory(dict)
-    _allowed_wait_s: float = 0.0
+    _allowed_wait_s: dict = attrs.Factory(dict)
     _began_s: float | None = None
 
     def record_work(self, kind, elapsed_s):
@@ -171,18 +179,17 @@
             self._arrived_nested += work_s
             return
         self._arrived[rank] = self._arrived.get(rank, 0.0) + work_s
-        if target_left_s is not None and rank >= max(self._arrived):
-            # What a level refuses first is the least urgent rank. Second attempts have
-            # less time left than it takes to say what its requests may wait.
+        if target_left_s is not None:
+            # Returns have less time left than it takes to say what their rank may wait.
+            known_s = self._allowed_wait_s.get(rank, 0.0) * (1 - LONGEST_DECAY)
             allowed_s = max(target_left_s - work_s, 0.0)
-            self._allowed_wait_s *= 1 - LONGEST_DECAY
-            self._allowed_wait_s = max(self._allowed_wait_s, allowed_s)
+            self._allowed_wait_s[rank] = max(known_s, allowed_s)
 
-    def update(self, waiting_kinds, now_s):
+    def update(self, waiting, now_s):
         """Return the current `Level` or ``None``, derived again in each window.
 
-        ``waiting_kinds`` are the kinds of the requests that wait for a slot and aren't
-        late. Late ones take what the others leave.
+        ``waiting`` yields the rank and kind of each request that waits for a slot and
+        isn't late. Late ones take what the others leave.
         """
         if self._began_s is None or now_s - self._began_s < WINDOW_S:
             return self.level
@@ -191,13 +198,27 @@
             self._reset(now_s)
             return None
         self._end_window(span_s, now_s)
-        work_s = [self._work_s.get(kind, 0.0) for kind in waiting_kinds]
-        self.level = self._next_level(sum(work_s) / self.slots)
+        self.level = self._next_level(self._pressure(waiting))
         if self.level is None:
             # A level is set again only for demand that arrives, not for an estimate.
             self._demand.update(self._received)
         return self.level
 
+    def _pressure(self, waiting):
+        """Return the longest wait of a rank, relative to the wanted wait of the rank.
+
+        A request waits for all that are as urgent or more. It is 0 if none waits.
+        """
+        work_s = {}
+        for rank, kind in waiting:
+            work_s[rank] = work_s.get(rank, 0.0) + self._work_s.get(kind, 0.0)
+        wait_s = pressure = 0.0
+        for rank in sorted(work_s):
+            wait_s += work_s[rank] / self.slots
+            wanted_s = TARGET_WAIT_SHARE * self._allowed_wait_s.get(rank, 0.0)
+            pressure = max(pressure, wait_s / max(wanted_s, MIN_WANTED_S))
+        return pressure
+
     def _reset(self, now_s):
         self.level = None
         self._arrived.clear()
@@ -243,26 +264,35 @@
         total = sum(self._demand.values())
         return MIN_SHARE * min(1.0, self.slots / total) if total else MIN_SHARE
 
-    def _next_level(self, wait_s):
-        """Return the next level; requests that aren't late wait for ``wait_s``."""
+    def _next_level(self, pressure):
+        """Return the next level, by the wait relative to the wanted one."""
         demand = sum(self._demand.values()) + self._nested_demand
-        wanted_wait_s = TARGET_WAIT_SHARE * self._allowed_wait_s
         if self.level is None:
-            if demand <= SET_RATIO * self.slots or wait_s <= wanted_wait_s:
+            if demand <= SET_RATIO * self.slots or pressure <= 1:
                 return None
         elif demand <= self.slots:
             return None
-        elif wait_s < wanted_wait_s:
+        elif pressure < self._relaxing_pressure():
             return self._relaxed()
-        bound = MAX_ADJUSTMENT
-        adjusted = min(max((wanted_wait_s - wait_s) / ADJUST_S, -bound), bound)
-        capacity = self.slots * (1 + adjusted) - self._nested_demand
+        adjustment = ADJUSTMENT * (1 - pressure)
+        adjustment = min(max(adjustment, -MAX_ADJUSTMENT), MAX_ADJUSTMENT)
+        capacity = self.slots * (1 + adjustment) - self._nested_demand
         fractions = fractions_by_rank(self._demand, capacity)
         for rank, fraction in fractions.items():
             if fraction < 1:
                 return Level(rank, fraction)
         return None
 
+    def _relaxing_pressure(self):
+        """Return below which pressure the level is relaxed.
+
+        While an urgent rank is refused, the queue has to become short: it is ordered by
+        rank, and what is admitted of less urgent ranks would never be served.
+        """
+        refused_rank = self.level.rank
+        least_urgent = max(self._demand, default=refused_rank)
+        return 1.0 if refused_rank >= least_urgent else URGENT_PRESSURE
+
     def _relaxed(self):
         """Return the level after a step; the next rank follows a rank that is full."""
         fraction = self.level.fraction * RELAX_FACTOR
--- a/comfreywharf/load/tests/test_fleet_admission.py
+++ b/comfreywharf/load/tests/test_fleet_admission.py
@@ -38,6 +38,7 @@
 TICK_S = 0.05
 AT_ONCE_S = 0.02
 SEEDS = range(5)
+FEW_SEEDS = range(2)
 
 MAX_LOSS = 0.02
 """Difference between two plays of the same load that chance alone makes."""
@@ -58,6 +59,7 @@
 
 FETCH = Kind("fetch", 2, 0.323, 1.593, 5.057, 0.5)
 EDIT = Kind("edit", 1, 0.172, 0.557, 3.092, 0.1)
+EDITS_BEYOND_SLOTS = attrs.evolve(EDIT, slots_fraction=1.2)
 CALL = Kind("call", 1, 0.032, 0.135, 0.423, 0.07, nested=True)
 
 
@@ -93,8 +95,10 @@
 class Play:
     """Play callers against servers, with levels or without them."""
 
-    def __init__(self, levels, factor, seed=3, impatient=0.0):
+    def __init__(self, levels, factor, seed=3, impatient=0.0, keyed=True, edit=EDIT):
         self.levels = levels
+        self.keyed = keyed
+        self.edit = edit
         self.factor = factor
         self.impatient = impatient
         self.rng = random.Random(seed)
@@ -120,7 +124,7 @@
 
     def run(self):
         """Return all callers with their results."""
-        for kind in (FETCH, EDIT, CALL):
+        for kind in (FETCH, self.edit, CALL):
             self._at(0.0, self._arrive, kind)
         self._at(TICK_S, self._tick)
         while self._events:
@@ -164,7 +168,7 @@
             attempt = Attempt(
                 route=kind.name,
                 rank=kind.rank,
-                owner=f"n{caller.server}",
+                owner=f"n{caller.server}" if self.keyed else "",
                 remaining_s=caller.deadline_at_s - now_s,
                 target_left_s=caller.target_at_s - now_s,
             )
@@ -221,7 +225,7 @@
     def _reply(self, caller, now_s):
         state = self.states[caller.server]
         overload = self.overloads[caller.server]
-        waiting = [ticket.kind for ticket in state.queue if not ticket.late]
+        waiting = [(t.rank, t.kind) for t in state.queue if not t.late]
         level = overload.update(waiting, now_s)
         ingress = self.ingresses[caller.ingress]
         ingress.record_level(f"n{caller.server}", level, VALID_S, now_s)
@@ -357,3 +361,47 @@
     """Guards against a level that is set for a clump of requests."""
     for seed in SEEDS:
         assert not refused_by_level(run(True, 1.0, 0.0, seed)[1])
+
+
+@pytest.mark.parametrize("keyed", [True, False])
+def test_calls_are_answered_while_an_urgent_rank_overloads_the_servers(keyed):
+    """Guards against executions that fail because the calls they make aren't served.
+
+    Requests as urgent as the calls alone ask for more than all slots. The queue is
+    ordered by rank, so that without levels the least urgent are hardly served at all.
+    """
+    results = {}
+    for levels in (False, True):
+        found = []
+        for seed in FEW_SEEDS:
+            play = Play(levels, 2.2, seed, keyed=keyed, edit=EDITS_BEYOND_SLOTS)
+            callers = play.run()
+            kinds = (FETCH, EDITS_BEYOND_SLOTS, CALL)
+            found.append([shares(callers, kind)[1] for kind in kinds])
+        results[levels] = [
+            sum(each) / len(FEW_SEEDS) for each in zip(*found, strict=True)
+        ]
+    fetches, edits, calls = zip(results[False], results[True], strict=True)
+    assert calls[1] > calls[0] + 0.02
+    assert edits[1] >= edits[0] - 0.04
+    assert fetches[1] >= 2 * fetches[0]
+
+
+@pytest.mark.parametrize("factor", [2.2, 2.6])
+def test_no_kind_of_request_is_served_worse_by_the_mean_over_servers(factor):
+    """Guards against a service that isn't divided by key and loses by levels."""
+    for kind in (FETCH, EDIT, CALL):
+        found = []
+        for seed in SEEDS:
+            without = run(False, factor, 0.0, seed)[1]
+            with_levels = run_mean(factor, seed)
+            pair = [shares(each, kind) for each in (without, with_levels)]
+            found.append([pair[1][n] - pair[0][n] for n in (0, 1)])
+        for differences in zip(*found, strict=True):
+            assert sum(differences) / len(SEEDS) >= -MAX_LOSS, kind.name
+
+
+@functools.cache
+def run_mean(factor, seed):
+    """Return the callers of a service whose ingress nodes use the mean level."""
+    return Play(True, factor, seed, keyed=False).run()
--- a/comfreywharf/load/tests/test_overload.py
+++ b/comfreywharf/load/tests/test_overload.py
@@ -44,7 +44,7 @@
     for number in range(round(since_s * per_s), round(until_s * per_s)):
         now_s = number / per_s
         overload.record_arrival(2, "k", now_s, nested=nested, target_left_s=0.5)
-        level = overload.update(["k"] * waiting, now_s)
+        level = overload.update([(2, "k")] * waiting, now_s)
     return level
 
 
@@ -91,7 +91,7 @@
     """Guards against a level derived from what arrived before a pause."""
     overload = overload_of()
     assert load(overload, per_s=80, since_s=0, until_s=2, waiting=40) is not None
-    assert overload.update(["k"] * 40, now_s=12.0) is None
+    assert overload.update([(2, "k")] * 40, now_s=12.0) is None
 
 
 def test_late_requests_are_no_demand():
@@ -120,7 +120,7 @@
             overload.record_arrival(2, "k", now_s, target_left_s=0.5)
             if nested_per_s and not number % (80 // nested_per_s):
                 overload.record_arrival(1, "k", now_s, nested=True)
-            level = overload.update(["k"] * 40, now_s)
+            level = overload.update([(2, "k")] * 40, now_s)
         levels.append(level)
     assert levels[1].fraction < levels[0].fraction
 
