Let requests without a latency target wait until their deadlines in a level

Without a target, the wanted wait of a rank was its lower bound of 50 ms, so that any wait at a demand above the slots set a level. The test reports a level for each wait without the change.

--- a/comfreywharf/daemon/requests/fleet_admission.py
+++ b/comfreywharf/daemon/requests/fleet_admission.py
@@ -41,13 +41,19 @@
         self._reported_s = float("-inf")
 
     def record_arrival(self, request, now_s):
-        """Record a request that was admitted, waits, or was refused."""
+        """Record a request that was admitted, waits, or was refused.
+
+        Without a latency target, it may wait until its deadline.
+        """
+        target_left_s = _target_left_s(request)
+        if target_left_s is None:
+            target_left_s = request.remaining_ms / 1000
         self._overload.record_arrival(
             request.priority,
             work_kind(request),
             now_s,
             nested=bool(request.nested),
-            target_left_s=_target_left_s(request),
+            target_left_s=target_left_s,
         )
 
     def record_work(self, slot, now_s):
--- a/comfreywharf/daemon/tests/test_fleet_admission.py
+++ b/comfreywharf/daemon/tests/test_fleet_admission.py
@@ -189,6 +189,21 @@
         assert node.load.admission_level("booking") is None
 
 
+def test_requests_without_a_target_may_wait_until_their_deadlines():
+    """Guards against a level as soon as a request without a target waits."""
+    state = admission_state(slots=1)
+    ticket = make_ticket()
+    ticket.kind = (0, False)
+    state.queue.push(ticket)
+    level = ServerLevel(None, "booking", state)
+    slot = SimpleNamespace(result=module.Result.ANSWERED, ticket=ticket)
+    ticket.started_s = 0.0
+    level.record_work(slot, now_s=0.1)
+    for number in range(200):
+        level.record_arrival(forward_request(), number / 50)
+        assert level.message("booking", number / 50) is None
+
+
 def test_events_about_a_level_are_bounded_in_rate():
     """Guards against a log that is filled by a level that comes and goes."""
     reported = []
