Set a level also if targets leave no time to wait

Requests that will be late don't count as waiting. Where the target leaves hardly more time than the work takes, all that wait are late, so that a level was relaxed although the owner refused most requests. A level is now also set, and not relaxed, while more than 0.85 of the demand is refused or marked late as it arrives.

With 0.5, a clump without an overload set a level; with 0.7, callers who wait were answered as often as those who don't.

--- a/comfreywharf/daemon/requests/fleet_admission.py
+++ b/comfreywharf/daemon/requests/fleet_admission.py
@@ -40,10 +40,11 @@
         self._reported = None
         self._reported_s = float("-inf")
 
-    def record_arrival(self, request, now_s):
+    def record_arrival(self, request, now_s, missed=False):
         """Record a request that was admitted, waits, or was refused.
 
-        Without a latency target, it may wait until its deadline.
+        Without a latency target, it may wait until its deadline. ``missed`` is as in
+        `ServerOverload.record_arrival`.
         """
         target_left_s = _target_left_s(request)
         if target_left_s is None:
@@ -54,6 +55,7 @@
             now_s,
             nested=bool(request.nested),
             target_left_s=target_left_s,
+            missed=missed,
         )
 
     def record_work(self, slot, now_s):
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -244,7 +244,9 @@
         """Record the demand, except what is passed on and counted elsewhere."""
         passed_on = slot.refused is not None and slot.request.max_wait_ms is not None
         if self._level is not None and not passed_on:
-            self._level.record_arrival(slot.request, boottime_s())
+            ticket = slot.ticket
+            missed = slot.refused is not None or (ticket is not None and ticket.late)
+            self._level.record_arrival(slot.request, boottime_s(), missed)
 
     def admission_level(self, service):
         """Return the server's `AdmissionLevel` for a reply; ``None`` if it has none."""
--- a/comfreywharf/load/overload.py
+++ b/comfreywharf/load/overload.py
@@ -44,6 +44,10 @@
 MIN_WANTED_S = 0.05
 """Lower bound on the wanted wait of a rank whose requests have no time to wait."""
 
+MISSED_SHARE = 0.85
+"""Share of the demand that is refused or will be late, above which requests are taken
+to wait too long however few of them are in the queue."""
+
 LONGEST_DECAY = 0.01
 """Decay of the longest time that requests may wait, with each request."""
 
@@ -147,6 +151,7 @@
     _work_s: dict = attrs.Factory(dict)
     _arrived: dict = attrs.Factory(dict)
     _arrived_nested: float = 0.0
+    _missed: float = 0.0
     _received: dict = attrs.Factory(dict)
     _demand: dict = attrs.Factory(dict)
     _nested_demand: float = 0.0
@@ -163,12 +168,15 @@
         bounded_s = min(elapsed_s, MAX_WORK_RATIO * mean_s)
         self._work_s[kind] = mean_s + WORK_WEIGHT * (bounded_s - mean_s)
 
-    def record_arrival(self, rank, kind, now_s, nested=False, target_left_s=None):
+    def record_arrival(
+        self, rank, kind, now_s, nested=False, target_left_s=None, missed=False
+    ):
         """Record a request that arrived here, also if it is refused.
 
         ``target_left_s`` is the time left until its latency target, ``None`` without
         one. A request whose target has passed is no demand: it gets only slots that
-        the others leave.
+        the others leave. ``missed`` is whether the request was refused, or can't be
+        answered by its target.
         """
         if self._began_s is None:
             self._began_s = now_s
@@ -179,6 +187,8 @@
             self._arrived_nested += work_s
             return
         self._arrived[rank] = self._arrived.get(rank, 0.0) + work_s
+        if missed:
+            self._missed += work_s
         if target_left_s is not None:
             # Returns have less time left than it takes to say what their rank may wait.
             known_s = self._allowed_wait_s.get(rank, 0.0) * (1 - LONGEST_DECAY)
@@ -197,8 +207,9 @@
         if span_s >= RESET_AFTER_S:
             self._reset(now_s)
             return None
+        missed_pressure = self._missed_pressure()
         self._end_window(span_s, now_s)
-        self.level = self._next_level(self._pressure(waiting))
+        self.level = self._next_level(max(self._pressure(waiting), missed_pressure))
         if self.level is None:
             # A level is set again only for demand that arrives, not for an estimate.
             self._demand.update(self._received)
@@ -219,10 +230,19 @@
             pressure = max(pressure, wait_s / max(wanted_s, MIN_WANTED_S))
         return pressure
 
+    def _missed_pressure(self):
+        """Return the pressure by requests that were refused or will be late.
+
+        If targets leave less time than one request needs, hardly any request waits
+        that isn't late, however many wait.
+        """
+        share = self._missed / max(sum(self._arrived.values()), self._missed, 1e-9)
+        return 1 + share if share > MISSED_SHARE else 0.0
+
     def _reset(self, now_s):
         self.level = None
         self._arrived.clear()
-        self._arrived_nested = 0.0
+        self._arrived_nested = self._missed = 0.0
         self._received.clear()
         self._demand.clear()
         self._nested_demand = 0.0
@@ -241,7 +261,7 @@
         received = self._arrived_nested / span_s
         self._nested_demand = _moved(self._nested_demand, received, RECEIVED_WEIGHT)
         self._arrived.clear()
-        self._arrived_nested = 0.0
+        self._arrived_nested = self._missed = 0.0
         self._began_s = now_s
 
     def _admitted(self, rank):
--- a/comfreywharf/load/tests/test_fleet_admission.py
+++ b/comfreywharf/load/tests/test_fleet_admission.py
@@ -188,15 +188,16 @@
         if not kind.nested and now_s >= caller.target_at_s:
             ticket.mark_late()
         self._tickets[ticket] = caller
-        overload = self.overloads[caller.server]
-        overload.record_arrival(
+        left_s = caller.target_at_s - now_s
+        self._decide(caller.server, Arrived(ticket), now_s)
+        self.overloads[caller.server].record_arrival(
             kind.rank,
             kind.name,
             now_s,
             nested=kind.nested,
-            target_left_s=caller.target_at_s - now_s,
+            target_left_s=left_s,
+            missed=ticket.late or ticket not in self._tickets,
         )
-        self._decide(caller.server, Arrived(ticket), now_s)
 
     def _decide(self, server, event, now_s):
         for action in decide(self.states[server], event, now_s):
--- a/comfreywharf/load/tests/test_overload.py
+++ b/comfreywharf/load/tests/test_overload.py
@@ -80,6 +80,20 @@
     assert level.fraction < 0.7
 
 
+def test_a_level_is_set_if_targets_leave_no_time_to_wait():
+    """Guards against owners that alone refuse what can't be in time.
+
+    Requests that will be late don't count as waiting, however many there are.
+    """
+    for missed in (False, True):
+        overload = overload_of()
+        for number in range(160):
+            now_s = number / 80
+            overload.record_arrival(2, "k", now_s, target_left_s=WORK_S, missed=missed)
+            level = overload.update([], now_s)
+        assert (level is not None) == missed
+
+
 def test_a_level_ends_within_a_second_of_its_overload():
     """Guards against requests that are refused long after an overload."""
     overload = overload_of()
