Forget ranks without requests in the level of a server

A level that refuses more than the least urgent rank is relaxed only once the queue is nearly empty. A rank that was requested long ago still counted as the least urgent one, so that the level of the last requested rank stayed strict. The test fails without the change.

--- a/comfreywharf/load/overload.py
+++ b/comfreywharf/load/overload.py
@@ -71,6 +71,9 @@
 """Bound on the demand relative to the capacity. If nodes of an earlier build ignore
 the level, the demand that is derived from it would otherwise grow without bound."""
 
+NEGLIGIBLE_FRACTION = 0.01
+"""Demand of a rank relative to the slots below which the rank counts as absent."""
+
 URGENT_PRESSURE = 0.1
 """The wait below which a level is relaxed that refuses more than the least urgent
 rank, relative to the wanted wait."""
@@ -258,12 +261,20 @@
             known = self._demand.get(rank, 0.0)
             demand = _moved(known, received / self._admitted(rank), SAMPLE_WEIGHT)
             self._demand[rank] = min(demand, MAX_DEMAND_RATIO * self.slots)
+        self._forget_absent_ranks()
         received = self._arrived_nested / span_s
         self._nested_demand = _moved(self._nested_demand, received, RECEIVED_WEIGHT)
         self._arrived.clear()
         self._arrived_nested = self._missed = 0.0
         self._began_s = now_s
 
+    def _forget_absent_ranks(self):
+        """Forget ranks without demand; a level isn't kept strict for their sake."""
+        least = NEGLIGIBLE_FRACTION * self.slots
+        for rank in [rank for rank, demand in self._demand.items() if demand < least]:
+            for values in (self._demand, self._received, self._in_force):
+                values.pop(rank, None)
+
     def _admitted(self, rank):
         """Return which fraction of a rank's requests the ingress nodes let through.
 
--- a/comfreywharf/load/tests/test_overload.py
+++ b/comfreywharf/load/tests/test_overload.py
@@ -108,6 +108,17 @@
     assert overload.update([(2, "k")] * 40, now_s=12.0) is None
 
 
+def test_a_rank_that_is_no_longer_requested_is_forgotten():
+    """Guards against a level that stays strict for a rank without requests."""
+    overload = overload_of()
+    overload.record_arrival(3, "k", 0.0, target_left_s=0.5)
+    level = load(overload, per_s=80, since_s=0, until_s=4, waiting=40)
+    assert level.rank == 2
+    # Some requests wait, less than wanted: the level of the last rank is relaxed.
+    relaxed = load(overload, per_s=80, since_s=4, until_s=4.3, waiting=6)
+    assert relaxed is None or relaxed.fraction >= 1.9 * level.fraction
+
+
 def test_late_requests_are_no_demand():
     """Guards against a level that lasts as long as refused callers return."""
     overload = overload_of()
