--- a/comfreywharf/daemon/tests/test_fleet_admission.py
+++ b/comfreywharf/daemon/tests/test_fleet_admission.py
@@ -189,6 +189,24 @@
         assert node.load.admission_level("booking") is None
 
 
+@pytest.mark.parametrize(("max_wait_ms", "counted"), [(None, [True]), (250, [])])
+def test_a_request_that_is_passed_on_is_counted_where_it_ends(max_wait_ms, counted):
+    """Guards against a demand that is counted at each server that passed it on."""
+    settings = attrs.evolve(node_settings(), fleet_admission=True)
+    node = Node(settings, OwnPorts(settings))
+    recorded = []
+    node.load._level = SimpleNamespace(
+        record_arrival=lambda request, now_s, missed: recorded.append(missed)
+    )
+    request = forward_request()
+    request.max_wait_ms = max_wait_ms
+    refused_slot = SimpleNamespace(
+        request=request, refused=refusal(Reason.OVERLOADED), ticket=None
+    )
+    node.load._record_arrival(refused_slot)
+    assert recorded == counted
+
+
 def test_requests_without_a_target_may_wait_until_their_deadlines():
     """Guards against a level as soon as a request without a target waits."""
     state = admission_state(slots=1)
