--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -99,6 +99,7 @@
             backend_slots=node.backend.announcement.slots if node.backend else 0,
             backend_limit_per_s=node.load.rate_limit.limit_per_s,
             backend_load_believed=node.load.server_load.believed,
+            admission_levels=node.fleet_admission.levels(now_s),
             waiting_requests=node.ingress.running,
             streams=node.ingress.streaming,
             lease_held=held,
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -43,6 +43,8 @@
       backend server itself refused.
     - ``chooses_by_load``: nodes tell the load of their backend servers in replies, and
       choose servers of a service that isn't divided by key by it.
+    - ``fleet_admission``: nodes refuse requests for an overloaded service where they
+      arrive, by the admission levels that its servers' nodes state.
     - ``routes_apply_s``: the time in seconds within which a change of the routes has
       to be in force.
     - ``evacuate_s``: the time in seconds after an order to evacuate a failure domain
@@ -61,6 +63,7 @@
     retry_fraction = DEFAULT_RETRY_FRACTION
     refused_retry_after_ms = 1000
     chooses_by_load = False
+    fleet_admission = False
     routes_apply_s = float("inf")
     evacuate_s = 5.0
 
@@ -131,6 +134,7 @@
         self._settings = settings
         self._dialect = OwnDialect()
         self.chooses_by_load = settings.choose_by_load
+        self.fleet_admission = settings.fleet_admission
 
     @property
     def dialect(self):
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -56,6 +56,7 @@
     retry_tokens: dict[str, float]
     backend_limit_per_s: float | None = None
     backend_load_believed: bool = True
+    admission_levels: dict[str, tuple[int, float]] = attrs.Factory(dict)
 
 
 class Metrics:
@@ -80,6 +81,7 @@
         self.repeated_sends = defaultdict(int)
         self.refused_retries = defaultdict(int)
         self.nested_calls = defaultdict(int)
+        self.level_refusals = defaultdict(int)
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
@@ -94,6 +96,10 @@
         """Count a request that got no slot of this node's backend server."""
         self.admission_refusals[service, reason] += 1
 
+    def refused_by_level(self, service, rank):
+        """Count a request that was refused where it arrived, by its service's level."""
+        self.level_refusals[service, str(rank)] += 1
+
     def backend_request_sent(self, service):
         """Count a request that was sent to this node's backend server."""
         self.backend_requests[service] += 1
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -72,6 +72,8 @@
 
 HEALTH_CONTRACT = "health"
 """The contract under which servers report their load, and are chosen by it."""
+PRESSURE = "pressure"
+"""The contract of deployments in which callers compete for the services' capacity."""
 
 RELEASE_TIMEOUT_S = 5.0
 """How long a release waits until the server has finished its work on the range."""
@@ -112,6 +114,7 @@
             ),
             resends=RESENDS,
         )
+        self.fleet_admission = PRESSURE in settings.contracts
         self.routes_apply_s = settings.routes_apply_s
         self.evacuate_s = settings.evacuate_s
         self.chooses_by_load = HEALTH_CONTRACT in settings.contracts
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -175,3 +175,19 @@
     ports = PlatformPorts(read(tmp_path, boot_text() + line).unwrap())
     assert ports.chooses_by_load == by_load
     assert isinstance(ports.make_chooser(), ByReportedLoad) == by_load
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("", False),
+        ("terms.contracts=health\n", False),
+        ("terms.contracts=health,pressure\n", True),
+        ("terms.contracts=pressure\n", True),
+        ("terms.contracts=pressures\n", False),
+    ],
+)
+def test_the_contract_of_competing_callers_enables_levels(tmp_path, line, expected):
+    """Guards against a change for deployments without the contract."""
+    ports = PlatformPorts(read(tmp_path, boot_text() + line).unwrap())
+    assert ports.fleet_admission is expected
--- a/comfreywharf/settings/model.py
+++ b/comfreywharf/settings/model.py
@@ -23,7 +23,7 @@
     another's. ``advertised_peer_port`` is the port at which other nodes reach the
     peer port, if address translation changes it; 0 stands for ``peer_port``. With
     ``choose_by_load``, servers of services that aren't divided by key are chosen by the
-    load that their nodes tell.
+    load that their nodes tell. ``fleet_admission`` is as in `Ports`.
     """
 
     node_id: str
@@ -41,3 +41,4 @@
     drift_per_mille: int = 5
     advertised_peer_port: int = 0
     choose_by_load: bool = False
+    fleet_admission: bool = False
--- a/comfreywharf/settings/reader.py
+++ b/comfreywharf/settings/reader.py
@@ -43,7 +43,10 @@
         Key("lease_ms", IntegerKind(MIN_LEASE_MS, MAX_LEASE_MS, "ms")),
         Key("drift_per_mille", IntegerKind(0, MAX_DRIFT_PER_MILLE, "per mille")),
     ),
-    "load": (Key("choose_by_load", YesNoKind()),),
+    "load": (
+        Key("choose_by_load", YesNoKind()),
+        Key("fleet_admission", YesNoKind()),
+    ),
 }
 
 _PORTS = ("caller_port", "peer_port", "operator_port", "backend_port")
--- a/comfreywharf/settings/tests/builders.py
+++ b/comfreywharf/settings/tests/builders.py
@@ -24,6 +24,7 @@
 
 [load]
 choose_by_load = yes
+fleet_admission = yes
 """
 
 INVALID_VALUES = {
@@ -41,6 +42,7 @@
     "lease_ms": ["199", "10001", "1 s", ""],
     "drift_per_mille": ["-1", "51", "0.5"],
     "choose_by_load": ["", "maybe", "2"],
+    "fleet_admission": ["", "maybe", "2"],
 }
 """Invalid values of each key; some are the port of another key."""
 
--- a/comfreywharf/settings/tests/test_reader.py
+++ b/comfreywharf/settings/tests/test_reader.py
@@ -18,7 +18,10 @@
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 KEYS = sorted(INVALID_VALUES)
-OPTIONAL = {"choose_by_load", "stream", "seeds", "lease_ms", "drift_per_mille"}
+OPTIONAL = {
+    *("stream", "seeds", "lease_ms", "drift_per_mille"),
+    *("choose_by_load", "fleet_admission"),
+}
 REQUIRED = sorted(set(KEYS) - OPTIONAL)
 
 
@@ -45,6 +48,7 @@
     assert settings.seeds[1] == Address("10.20.3.11", 7101)
     assert settings.drift_per_mille == 5
     assert settings.choose_by_load
+    assert settings.fleet_admission is True
 
 
 @pytest.mark.parametrize("name", ["riga-node.ini", "ahmedabad-node.ini"])
