Weigh slices by work, and move them only where an owner bears too little

Requests per second misjudge slices where short and long requests share servers, and the mean time of all requests misjudges a server's speed. Keys moved several times over while a range was hot for 5 s, since the planner moved slices away and back.

With PlacementTuning.by_work, nodes report the slots that slices need and the typical time of each kind of request. The planner derives speeds from times of the same kind, and weighs slices in slots of a server of usual speed. It moves slices only from servers that need more than they bear, or to joined ones, divides a hot range in one round, and moves the slices with the most work per key first. Reports from before a split are ignored, and a gained slice isn't reported as idle. The event slices_rebalanced tells the reason. With the switch off, plans and messages are the same.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -112,6 +112,7 @@
         self.load_reports.hot_keys = self.load.hot_keys
         self.load_reports.busy_fraction = self.load.busy_fraction
         self.load_reports.service_ms = self.load.service_ms
+        self.load_reports.kind_times = self.load.kind_times
         self.load_reports.cold_requests_per_s = self.load.cold_requests_per_s
         self.load_reports.limit_per_s = lambda: self.load.rate_limit.limit_per_s
         self.forwarder = Forwarder(self)
--- a/comfreywharf/daemon/ownership/load_reports.py
+++ b/comfreywharf/daemon/ownership/load_reports.py
@@ -1,5 +1,6 @@
 """Report this node's load to the planner; missing replies show the planner's loss."""
 
+import math
 import random
 
 from gevent.event import Event
@@ -14,14 +15,28 @@
     report_delay_s,
 )
 from comfreywharf.placement.terms import ReportAnswered, ReportFailed
-from comfreywharf.records import PlannerTermStarted
+from comfreywharf.placement.work import KindTime, KindTimes
+from comfreywharf.records import (
+    PlannerTermStarted,
+    SlicesMerged,
+    SlicesMoved,
+    SliceSplit,
+    SlicesTaken,
+)
 from comfreywharf.transport import CallError
-from comfreywharf.transport.gen.ttypes import HotKey, LoadReport, SliceLoad
+from comfreywharf.transport.gen.ttypes import (
+    HotKey,
+    KindTime as KindTimeMessage,
+    LoadReport,
+    SliceLoad,
+)
 
 __all__ = ["LoadReports", "load_report", "node_report"]
 
 REPORT_TIMEOUT_S = 1.0
 
+_SLICE_RECORDS = (SliceSplit, SlicesMerged, SlicesMoved, SlicesTaken)
+
 
 class LoadReports:
     """Count this node's requests by slice and report their rates.
@@ -29,8 +44,9 @@
     ``hot_keys()`` returns ``(service, key_hash, requests_per_s)`` of the keys that
     are hot on this node, ``busy_fraction()`` the fraction of slots in use,
     ``service_ms()`` the time that a request takes, ``cold_requests_per_s()`` what
-    the backend server bears while it is cold, and ``limit_per_s()`` the limit that it
-    names. `Node` sets these functions.
+    the backend server bears while it is cold, ``limit_per_s()`` the limit that it
+    names, and ``kind_times()`` the `ServiceTimes` of each kind of request. `Node` sets
+    these functions.
     """
 
     def __init__(self, node):
@@ -39,9 +55,13 @@
         self.service_ms = float
         self.cold_requests_per_s = lambda: None
         self.limit_per_s = lambda: None
+        self.kind_times = dict
         self._node = node
         self._node_id = node.settings.node_id
-        self._meter = SliceMeter(node.ports.placement.smoothing_s)
+        placement = node.ports.placement
+        self._by_work = placement.by_work
+        self._meter = SliceMeter(placement.smoothing_s, by_work=self._by_work)
+        self._work_times = KindTimes()
         self._reported_term = -1
         self._term_started = Event()
         self._random = random.Random(f"{self._node_id} {node.incarnation}")
@@ -52,6 +72,12 @@
         if right.reason is None and right.slice_start >= 0:
             self._meter.count(right.service, right.slice_start)
 
+    def count_work(self, right, kind):
+        """Count the slot time that a request of a kind needs, where slices weigh it."""
+        if self._by_work and right.slice_start >= 0:
+            work_s = self._work_times.work_s(kind)
+            self._meter.count_work(right.service, right.slice_start, work_s)
+
     def run(self):
         """Report until the greenlet is killed."""
         self._node.follower.caught_up.wait()
@@ -69,10 +95,18 @@
     def _on_folded(self, record, result):
         if result.accepted and isinstance(record, PlannerTermStarted):
             self._term_started.set()
+        if self._by_work and result.accepted and isinstance(record, _SLICE_RECORDS):
+            self._set_owned(boottime_s())
+
+    def _set_owned(self, now_s):
+        owned = self._node.follower.state.owned_by(self._node_id)
+        self._meter.set_owned(owned, now_s if self._by_work else None)
 
     def _report_load(self, now_s):
         state = self._node.follower.state
-        self._meter.set_owned(state.owned_by(self._node_id))
+        if self._by_work:
+            self._work_times.sample(self.kind_times())
+        self._set_owned(now_s)
         self._meter.close_window(now_s)
         planner_id = state.planner_id
         if self._node_id not in state.members or not planner_id:
@@ -100,6 +134,9 @@
             service_ms=self.service_ms(),
             cold_requests_per_s=self.cold_requests_per_s(),
             limit_per_s=self.limit_per_s(),
+            kind_times=self._work_times.times_to_report(everything)
+            if self._by_work
+            else None,
         )
 
     def _slice_rates(self, everything):
@@ -133,9 +170,10 @@
             SliceLoad(
                 service_name=entry.service,
                 slice_start=entry.start,
-                slice_epoch=-1,
+                slice_epoch=entry.epoch,
                 requests_per_s=entry.requests_per_s,
                 busy_fraction=0.0,
+                slots_needed=entry.slots_needed,
             )
             for entry in report.slices
         ],
@@ -154,9 +192,23 @@
         service_ms=report.service_ms,
         cold_requests_per_s=report.cold_requests_per_s,
         limit_per_s=report.limit_per_s,
+        kind_times=_kind_time_messages(report.kind_times),
     )
 
 
+def _kind_time_messages(kind_times):
+    if kind_times is None:
+        return None
+    return [
+        KindTimeMessage(
+            priority=entry.priority,
+            repeatable=entry.repeatable,
+            typical_ms=entry.typical_ms,
+        )
+        for entry in kind_times
+    ]
+
+
 def node_report(message):
     """Return the `NodeReport` of a received message."""
     return NodeReport(
@@ -167,6 +219,8 @@
                 service=entry.service_name,
                 start=entry.slice_start,
                 requests_per_s=entry.requests_per_s,
+                epoch=entry.slice_epoch,
+                slots_needed=entry.slots_needed,
             )
             for entry in message.slices
         ),
@@ -184,4 +238,19 @@
         service_ms=message.service_ms,
         cold_requests_per_s=message.cold_requests_per_s,
         limit_per_s=message.limit_per_s,
+        kind_times=_kind_times(message.kind_times),
+    )
+
+
+def _kind_times(messages):
+    if messages is None:
+        return None
+    return tuple(
+        KindTime(
+            priority=message.priority,
+            repeatable=message.repeatable,
+            typical_ms=message.typical_ms,
+        )
+        for message in messages
+        if 0 < message.typical_ms < math.inf
     )
--- a/comfreywharf/daemon/ownership/planner.py
+++ b/comfreywharf/daemon/ownership/planner.py
@@ -29,6 +29,11 @@
         """Return whether this node is the planner and the log is reachable."""
         return self._own_term is not None and self._node.follower.reachable
 
+    @property
+    def capacities(self):
+        """Return the capacities in slots by service and node, if work is weighed."""
+        return dict(self._own_term.capacities) if self.is_planning else {}
+
     def receive_report(self, report, now_s):
         """Record a `NodeReport`; return whether this node is the planner."""
         if not self.is_planning:
--- a/comfreywharf/daemon/ownership/planning_term.py
+++ b/comfreywharf/daemon/ownership/planning_term.py
@@ -25,6 +25,11 @@
 passes divide a slice with the load of three servers into sixteenths."""
 
 
+MAX_WORK_PASSES = 7
+"""The same where slices weigh work: a range with 0.4 of the requests needs the room of
+most servers at once, in up to 64 parts."""
+
+
 class PlanningTerm:
     """Plan in rounds, and append the records of each round.
 
@@ -60,11 +65,13 @@
         cluster = self._node.follower.state
         slice_count = sum(len(each.slices) for each in cluster.slices.values())
         self._next_round_s = now_s + round_interval_s(slice_count)
-        for _ in range(MAX_PLANNING_PASSES):
+        by_work = self._state.tuning.by_work
+        for _ in range(MAX_WORK_PASSES if by_work else MAX_PLANNING_PASSES):
             evacuated = frozenset(self._node.evacuations.domains)
             event = RoundDue(cluster=cluster, evacuated=evacuated)
             _, actions = planning.decide(self._state, event, now_s)
             self._append_all(actions)
+            self._report_moves()
             # A split halves a hot slice, and the next pass splits the halves. With
             # one split per round its server stays overloaded for several rounds.
             if not any(isinstance(action, Split) for action in actions):
@@ -72,6 +79,17 @@
         if self._node.ports.removes_lost_nodes:
             self._remove_lost_member(cluster, now_s)
 
+    @property
+    def capacities(self):
+        """Return the capacities in slots by service and node, if they are measured."""
+        return self._state.capacities
+
+    def _report_moves(self):
+        for (service, reason), count in sorted(self._state.move_reasons.items()):
+            self._node.report(
+                "slices_rebalanced", service=service, reason=reason, count=count
+            )
+
     def _append_all(self, actions):
         """Append the records of a round's actions, concurrently.
 
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -22,6 +22,7 @@
 from comfreywharf.load.admission import AdmissionState, Result
 from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.coldstart import ColdLimit
+from comfreywharf.load.estimates import work_kind
 from comfreywharf.load.nested import NestedCalls
 from comfreywharf.load.ratelimit import ServerRateLimit
 from comfreywharf.records import ServiceConfig
@@ -205,6 +206,7 @@
         it, and a move of the key would otherwise have to wait for the queue.
         """
         slot = Slot(request, body)
+        self._node.load_reports.count_work(running.right, work_kind(request))
         standing = self._standing(slot)
         if standing is Standing.CONDEMNED:
             slot.refused = self._quarantine_refusal(slot.fingerprint)
@@ -402,6 +404,10 @@
         """Return a request's mean time at the backend server; 0 if unknown."""
         return self._admission.state.times.mean_s * 1000 if self._admission else 0.0
 
+    def kind_times(self):
+        """Return the `ServiceTimes` of each kind of request at the backend server."""
+        return self._admission.state.kind_times if self._admission else {}
+
     def waiting(self):
         """Return how many requests wait for a slot."""
         queued = self._admission.state.waiting if self._admission else 0
--- a/comfreywharf/placement/loads.py
+++ b/comfreywharf/placement/loads.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from comfreywharf.placement.work import KindTime
+
 __all__ = [
     "HotKeyRate",
     "LoadTable",
@@ -78,11 +80,18 @@
 
 @attrs.frozen(kw_only=True)
 class SliceRate:
-    """The request rate that a node measured for one of its slices."""
+    """The request rate that a node measured for one of its slices.
+
+    ``slots_needed`` is the slot time per second that the requests need at the node's
+    own server, ``epoch`` that of the measured slice; a node that doesn't measure work
+    reports neither.
+    """
 
     service: str
     start: int
     requests_per_s: float
+    epoch: int = -1
+    slots_needed: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -100,7 +109,8 @@
 
     ``cold_requests_per_s`` is what the backend server bears while it is cold; ``None``
     means that it is warm. ``limit_per_s`` is how many requests per second it takes, if
-    it names a limit.
+    it names a limit. ``kind_times`` are the typical times by kind of request; ``None``
+    means that they haven't changed, or aren't measured.
     """
 
     node_id: str
@@ -113,6 +123,7 @@
     service_ms: float = 0.0
     cold_requests_per_s: float | None = None
     limit_per_s: float | None = None
+    kind_times: tuple[KindTime, ...] | None = None
 
     @property
     def can_serve(self):
@@ -135,6 +146,7 @@
     cold_requests_per_s: float | None = None
     limit_per_s: float | None = None
     taken_over_s: float | None = None
+    kind_times: dict[tuple, float] = attrs.Factory(dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -143,20 +155,32 @@
     seen_s: float
 
 
+@attrs.frozen(kw_only=True)
+class _Resize:
+    """The loads of the two slices of a split or merge, from before it."""
+
+    base_epoch: int
+    rates: dict
+    work: dict
+
+
 @attrs.define(kw_only=True)
 class LoadTable:
     """Latest loads and liveness of the nodes, rebuilt by each new planner.
 
     ``started_s`` is the start of this planner's term. A node whose first report
     arrives soon after it is treated as warm: it is probably new only to the
-    planner. ``rates`` are requests per second by service and start of the slice.
+    planner. ``rates`` are requests per second by service and start of the slice,
+    ``work`` the reported ``(slots_needed, node_id)``.
     """
 
     started_s: float
     rates: dict[str, dict[int, float]] = attrs.Factory(dict)
+    work: dict[str, dict[int, tuple[float, str]]] = attrs.Factory(dict)
     _nodes: dict[str, _NodeState] = attrs.Factory(dict)
     _first_seen_s: dict[str, float] = attrs.Factory(dict)
     _hot: dict[str, dict[int, _HotKeySample]] = attrs.Factory(dict)
+    _resizes: dict[tuple[str, int], _Resize] = attrs.Factory(dict)
 
     def record_report(self, report, now_s):
         """Record a report; drop it if it is from an earlier incarnation."""
@@ -165,11 +189,23 @@
             return
         self._nodes[report.node_id] = self._next_state(earlier, report, now_s)
         for entry in report.slices:
-            rates = self.rates.setdefault(entry.service, {})
-            rates[entry.start] = entry.requests_per_s
+            self._record_slice(entry, report.node_id)
         for entry in report.hot_keys:
             self._record_hot_key(entry, now_s)
 
+    def _record_slice(self, entry, node_id):
+        # A report that was made before a split or merge would give the whole slice's
+        # load to its left part. Its epoch isn't known where work isn't measured.
+        resize = self._resizes.get((entry.service, entry.start))
+        if resize is not None and 0 <= entry.epoch <= resize.base_epoch:
+            return
+        self.rates.setdefault(entry.service, {})[entry.start] = entry.requests_per_s
+        work = self.work.setdefault(entry.service, {})
+        if entry.slots_needed is not None:
+            work[entry.start] = (entry.slots_needed, node_id)
+        else:
+            work.pop(entry.start, None)
+
     def mark_taken_over(self, node_id, now_s):
         """Mark a node as lost because a standby took over from it.
 
@@ -204,6 +240,7 @@
             service_ms=report.service_ms,
             cold_requests_per_s=report.cold_requests_per_s,
             limit_per_s=report.limit_per_s,
+            kind_times=_kind_times(report, None if restarted else earlier),
         )
 
     def _record_hot_key(self, entry, now_s):
@@ -282,13 +319,18 @@
         node = self._nodes.get(node_id)
         return node.limit_per_s if node else None
 
-    def hot_keys(self, service, now_s):
+    def kind_times(self, node_id):
+        """Return ``{kind: typical_ms}`` of a node's server; empty if unknown."""
+        node = self._nodes.get(node_id)
+        return node.kind_times if node else {}
+
+    def hot_keys(self, service, now_s, retention_s=HOT_KEY_RETENTION_S):
         """Return ``{key_hash: requests_per_s}`` of the recently reported hot keys."""
         seen = self._hot.get(service, {})
         for key_hash in [
             key_hash
             for key_hash, sample in seen.items()
-            if now_s - sample.seen_s > HOT_KEY_RETENTION_S
+            if now_s - sample.seen_s > retention_s
         ]:
             del seen[key_hash]
         return {key_hash: sample.requests_per_s for key_hash, sample in seen.items()}
@@ -308,8 +350,80 @@
         rates = self.rates.setdefault(service, {})
         rates[start] = rates.get(start, 0.0) + rates.pop(next_start, 0.0)
 
+    def record_work_split(self, split, share):
+        """Divide a slice's rate and work at a `Split`; the right part gets ``share``.
+
+        Reports of the whole slice that are still to come are ignored.
+        """
+        self._note_resize(split, split.at)
+        rates = self.rates.get(split.service, {})
+        if split.start in rates:
+            rates[split.at] = rates[split.start] * share
+            rates[split.start] *= 1 - share
+        work = self.work.get(split.service, {})
+        if split.start in work:
+            slots_needed, node_id = work[split.start]
+            work[split.at] = (slots_needed * share, node_id)
+            work[split.start] = (slots_needed * (1 - share), node_id)
+
+    def record_work_merge(self, merge):
+        """Add the rates and the work of two slices of a `Merge`."""
+        self._note_resize(merge, merge.next_start)
+        self.record_merge(merge.service, merge.start, merge.next_start)
+        work = self.work.get(merge.service, {})
+        left, right = work.get(merge.start), work.pop(merge.next_start, None)
+        if left and right and left[1] == right[1]:
+            work[merge.start] = (left[0] + right[0], left[1])
+        else:
+            work.pop(merge.start, None)
+
     def prune(self, service, starts):
         """Drop the rates of slices that don't begin at one of ``starts`` any more."""
-        rates = self.rates.get(service, {})
-        if len(rates) > len(starts):
-            self.rates[service] = {s: rates[s] for s in starts if s in rates}
+        for measured in (self.rates, self.work):
+            entries = measured.get(service, {})
+            if len(entries) > len(starts):
+                measured[service] = {s: entries[s] for s in starts if s in entries}
+
+    def _note_resize(self, action, other_start):
+        rates = self.rates.get(action.service, {})
+        work = self.work.get(action.service, {})
+        starts = (action.start, other_start)
+        self._resizes[action.service, action.start] = _Resize(
+            base_epoch=action.base_epoch,
+            rates={start: rates.get(start) for start in starts},
+            work={start: work.get(start) for start in starts},
+        )
+
+    def undo_refused_resizes(self, service, slices):
+        """Restore the loads from before resizes that the log didn't take.
+
+        Their slices still have the epoch that the resize was based on. Their nodes
+        have reported them, and don't do so again until their loads change.
+        """
+        noted = [start for name, start in self._resizes if name == service]
+        if not noted:
+            return
+        epochs = {slice_.start: slice_.epoch for slice_ in slices}
+        for start in noted:
+            resize = self._resizes[service, start]
+            if start not in epochs:
+                del self._resizes[service, start]
+            elif epochs[start] <= resize.base_epoch:
+                del self._resizes[service, start]
+                _restore(self.rates.setdefault(service, {}), resize.rates)
+                _restore(self.work.setdefault(service, {}), resize.work)
+
+
+def _restore(entries, before):
+    for start, value in before.items():
+        if value is None:
+            entries.pop(start, None)
+        else:
+            entries[start] = value
+
+
+def _kind_times(report, earlier):
+    """Return ``{kind: typical_ms}`` after a report of the same node as ``earlier``."""
+    if report.kind_times is None:
+        return earlier.kind_times if earlier else {}
+    return {entry.kind: entry.typical_ms for entry in report.kind_times}
--- a/comfreywharf/placement/planning.py
+++ b/comfreywharf/placement/planning.py
@@ -1,7 +1,10 @@
 """The planner's decisions: turn load reports and the folded state into actions."""
 
+from collections import Counter
+
 import attrs
 
+from comfreywharf.placement.hotranges import plan_work_resizes
 from comfreywharf.placement.loads import LoadTable, NodeReport, report_timeout_s
 from comfreywharf.placement.mandatory import plan_mandatory_moves
 from comfreywharf.placement.rebalance import (
@@ -12,7 +15,8 @@
 from comfreywharf.placement.resize import Merge, Split, plan_resizes
 from comfreywharf.placement.standbys import choose_standbys
 from comfreywharf.placement.tuning import PlacementTuning
-from comfreywharf.placement.view import build_view
+from comfreywharf.placement.view import WorkView, build_view
+from comfreywharf.placement.workbalance import work_policy
 from comfreywharf.records import (
     ClusterState,
     ServiceConfig,
@@ -97,7 +101,10 @@
 class PlanningState:
     """State of a planner during its term; none of it needs to be stored.
 
-    ``make_policy`` returns the `RebalancePolicy` for a `ServiceConfig`.
+    ``make_policy`` returns the `RebalancePolicy` for a `ServiceConfig`. Of the latest
+    round, ``move_reasons`` counts the moves for balance by service and reason, and
+    ``capacities`` are the servers' capacities in slots by service and node; both are
+    empty unless slices weigh work.
     """
 
     table: LoadTable
@@ -105,6 +112,8 @@
     make_policy: object = policy_for
     switches: Switches = attrs.Factory(Switches)
     policies: dict[str, tuple[ServiceConfig, RebalancePolicy]] = attrs.Factory(dict)
+    move_reasons: Counter = attrs.Factory(Counter)
+    capacities: dict[tuple[str, str], float] = attrs.Factory(dict)
 
     @classmethod
     def begin(cls, now_s, **fields):
@@ -118,7 +127,10 @@
         """Return the policy of a service; create one if its declaration changed."""
         known = self.policies.get(service.name)
         if known is None or known[0] != service:
-            known = (service, self.make_policy(service))
+            policy = self.make_policy(service)
+            if self.tuning.by_work:
+                policy = work_policy(fallback=policy)
+            known = (service, policy)
             self.policies[service.name] = known
         return known[1]
 
@@ -144,12 +156,19 @@
         return state, []
     cluster = event.cluster
     state.table.update_members(cluster.members, now_s)
+    state.move_reasons.clear()
+    state.capacities.clear()
     moves = []
     resizes = []
     for name, service in cluster.config.services.items():
         if name in cluster.slices and service.divided_by_key:
             view = _plan_service(state, event, service, now_s)
             moves += view.moves()
+            for reason in view.reasons.values():
+                state.move_reasons[name, reason] += 1
+            if isinstance(view, WorkView):
+                for node_id, slots in view.targets.items():
+                    state.capacities[name, node_id] = slots
             resizes += _resize(state, view)
     return state, _batches(moves) + resizes
 
@@ -158,6 +177,7 @@
     cluster = event.cluster
     slices = cluster.slices[service.name].slices
     state.table.prune(service.name, [slice_.start for slice_ in slices])
+    state.table.undo_refused_resizes(service.name, slices)
     warm_up = state.switches.warm_up
     view = build_view(
         cluster,
@@ -190,6 +210,8 @@
 def _resize(state, view):
     if not state.switches.resize:
         return []
+    if isinstance(view, WorkView):
+        return _resize_by_work(state, view)
     actions = plan_resizes(view)
     for action in actions:
         if isinstance(action, Split):
@@ -201,6 +223,17 @@
     return actions
 
 
+def _resize_by_work(state, view):
+    actions = plan_work_resizes(view)
+    for action in actions:
+        if isinstance(action, Split):
+            share = action.right_per_s / view.weights[action.start]
+            state.table.record_work_split(action, share)
+        else:
+            state.table.record_work_merge(action)
+    return actions
+
+
 def _batches(moves):
     return [
         Move(moves=tuple(moves[index : index + MAX_MOVES_PER_RECORD]))
--- a/comfreywharf/placement/resize.py
+++ b/comfreywharf/placement/resize.py
@@ -2,7 +2,15 @@
 
 import attrs
 
-__all__ = ["Merge", "Split", "plan_resizes", "slice_limit"]
+__all__ = [
+    "Merge",
+    "Split",
+    "is_stable",
+    "make_split",
+    "plan_merges",
+    "plan_resizes",
+    "slice_limit",
+]
 
 MAX_RESIZES_PER_ROUND = 8
 PIN_SHARE = 0.2
@@ -71,7 +79,9 @@
     splits = _splits(view, fair_load)[: max(0, min(max_splits, MAX_RESIZES_PER_ROUND))]
     split_starts = {split.start for split in splits}
     merges_left = MAX_RESIZES_PER_ROUND - len(splits)
-    return splits + _merges(view, fair_load, split_starts)[:merges_left]
+    return (
+        splits + plan_merges(view, MERGE_SHARE * fair_load, split_starts)[:merges_left]
+    )
 
 
 def _splits(view, fair_load):
@@ -82,7 +92,7 @@
     )
     splits = []
     for slice_ in view.slices:
-        if slice_.end - slice_.start == 1 or not _is_stable(view, slice_):
+        if slice_.end - slice_.start == 1 or not is_stable(view, slice_):
             continue
         weight = view.weights[slice_.start]
         if view.slots_needed(slice_) < MIN_SLOTS_TO_SPLIT:
@@ -96,7 +106,7 @@
                 splits.append((weight, _pin(view, slice_, hot[0])))
         elif weight > SPLIT_SHARE * fair_load:
             middle = _middle(view, slice_)
-            splits.append((weight, _split(view, slice_, middle, weight / 2)))
+            splits.append((weight, make_split(view, slice_, middle, weight / 2)))
     splits.sort(key=lambda entry: (-entry[0], entry[1].start))
     return [split for _, split in splits]
 
@@ -131,11 +141,12 @@
     if key_hash > slice_.start:
         rest = max(0.0, weight - rate)
         right_fraction = (slice_.end - key_hash) / (slice_.end - slice_.start)
-        return _split(view, slice_, key_hash, rate + rest * right_fraction)
-    return _split(view, slice_, key_hash + 1, max(0.0, weight - rate))
+        return make_split(view, slice_, key_hash, rate + rest * right_fraction)
+    return make_split(view, slice_, key_hash + 1, max(0.0, weight - rate))
 
 
-def _split(view, slice_, at, right_per_s):
+def make_split(view, slice_, at, right_per_s):
+    """Return the `Split` of a slice in a `ServiceView`."""
     return Split(
         service=view.config.name,
         start=slice_.start,
@@ -145,13 +156,18 @@
     )
 
 
-def _merges(view, fair_load, split_starts):
+def plan_merges(view, max_weight, split_starts, split_hot_keys=True):
+    """Return the merges of light neighbours, for slices above the declared number.
+
+    Two slices are merged if they weigh at most ``max_weight`` together, and have no
+    hot key unless ``split_hot_keys`` is false.
+    """
     surplus = len(view.slices) - view.config.slices
     merges = []
     index = 0
     while index + 1 < len(view.slices) and len(merges) < surplus:
         left, right = view.slices[index : index + 2]
-        if _mergeable(view, left, right, fair_load, split_starts):
+        if _mergeable(view, left, right, max_weight, split_starts, split_hot_keys):
             merges.append(
                 Merge(
                     service=view.config.name,
@@ -166,20 +182,23 @@
     return merges
 
 
-def _mergeable(view, left, right, fair_load, split_starts):
+def _mergeable(view, left, right, max_weight, split_starts, split_hot_keys):
     if left.start in split_starts or right.start in split_starts:
         return False
     if (left.owner, left.standby) != (right.owner, right.standby):
         return False
-    if not (_is_stable(view, left) and _is_stable(view, right)):
+    if not (is_stable(view, left) and is_stable(view, right)):
         return False
     weight = view.weights[left.start] + view.weights[right.start]
-    if weight > MERGE_SHARE * fair_load:
+    if weight > max_weight:
         return False
-    return not any(left.start <= key_hash < right.end for key_hash in view.hot_keys)
+    return not split_hot_keys or not any(
+        left.start <= key_hash < right.end for key_hash in view.hot_keys
+    )
 
 
-def _is_stable(view, slice_):
+def is_stable(view, slice_):
+    """Return whether a slice has an owner, awaits no release, and isn't moved."""
     if slice_.previous or not slice_.owner:
         return False
     return (
--- a/comfreywharf/placement/tests/builders.py
+++ b/comfreywharf/placement/tests/builders.py
@@ -59,7 +59,7 @@
         record = kind(record_id=str(self.state.next_offset), **fields)
         return fold(self.state, self.state.next_offset, record).accepted
 
-    def start(self, node_id, domain):
+    def start(self, node_id, domain, slots=12):
         """Announce a node, or its next incarnation, and start its lease."""
         member = self.state.members.get(node_id)
         incarnation = member.incarnation + 1 if member else 1
@@ -75,7 +75,7 @@
             failure_domain=domain,
             region="riga",
             service=SERVICE,
-            slots=12,
+            slots=slots,
         )
         self.append(
             LeaseStarted,
--- a/comfreywharf/placement/tuning.py
+++ b/comfreywharf/placement/tuning.py
@@ -19,6 +19,11 @@
     planner reacts to smaller imbalances, sooner, and with an hourly budget that
     only runaway moves reach. With ``scale_by_speed``, a backend server's capacity is
     scaled by its measured speed instead of following from its slots alone.
+
+    With ``by_work``, a slice weighs the slot time that its requests need, a server's
+    speed follows from times of the same kind of request, and slices move only away
+    from a server that needs more slots than it has, or to one that has joined. Nodes
+    then report slot times; see `comfreywharf.placement.work`.
     """
 
     warm_up_s: float = 60.0
@@ -28,3 +33,4 @@
     hot_window_s: float = 2.0
     cheap_moves: bool = False
     scale_by_speed: bool = False
+    by_work: bool = False
--- a/comfreywharf/placement/view.py
+++ b/comfreywharf/placement/view.py
@@ -7,9 +7,10 @@
 
 from comfreywharf.placement.loads import report_timeout_s
 from comfreywharf.placement.tuning import PlacementTuning
+from comfreywharf.placement.work import relative_speeds, slice_work
 from comfreywharf.records import SliceMove
 
-__all__ = ["ServiceView", "build_view"]
+__all__ = ["ServiceView", "WorkView", "build_view"]
 
 COLD_SHARE = 0.2
 """Share of its capacity that a backend server gets right after its start."""
@@ -17,6 +18,22 @@
 MIN_LIMIT_PER_S = 0.1
 """The least that a server's limit counts as, so that relative loads stay finite."""
 
+BEARABLE_SHARE = 0.85
+"""Share of its capacity up to which a server bears its slices' work. With three slots,
+requests wait for longer than they take from here on."""
+
+RELIEVED_SHARE = 0.7
+"""Share of its capacity that a server's work is reduced to, or raised to by moves."""
+
+BEARABLE_LEVEL = 1.15
+RELIEVED_LEVEL = 1.05
+"""The same relative to the mean of all servers, if that is the higher: moves don't help
+a service whose servers are all full, except against an uneven load."""
+
+HOT_WORK_KEYS_S = 3.0
+"""Time after its latest report for which a key counts as hot where slices weigh work,
+since a hot range lasts for seconds."""
+
 MIN_SPEED = 0.3
 MAX_SPEED = 2.0
 """Bounds on a measured relative speed; a few slow requests don't make a slow server."""
@@ -42,7 +59,8 @@
     ``hot_keys`` are requests per second by key hash. ``busy_fractions`` are the
     shares of the members' slots that are in use, ``service_s`` their mean service
     times, ``limits_per_s`` the limits that their servers name. ``planned_owners`` and
-    ``planned_standbys`` are the planned changes by start of the slice.
+    ``planned_standbys`` are the planned changes by start of the slice, ``reasons``
+    the reasons of the moves that weren't mandatory, if the policy names them.
     """
 
     config: object
@@ -58,6 +76,7 @@
     limits_per_s: dict[str, float] = attrs.Factory(dict)
     planned_owners: dict[int, str] = attrs.Factory(dict)
     planned_standbys: dict[int, str] = attrs.Factory(dict)
+    reasons: dict[int, str] = attrs.Factory(dict)
     total_load: float = attrs.field(init=False)
     mean_relative_load: float = attrs.field(init=False)
     _load_heap: list = attrs.field(init=False, repr=False)
@@ -152,6 +171,43 @@
         ]
 
 
+@attrs.define(kw_only=True)
+class WorkView(ServiceView):
+    """A view in which slices weigh slots that their work needs.
+
+    Capacities are slots times speed, so that a relative load of 1 means that all slots
+    of a server are needed.
+    """
+
+    def max_utilisation(self):
+        """Return the highest utilisation of a target's slots."""
+        return max(map(self.relative_load, self.targets), default=math.inf)
+
+    def slots_needed(self, slice_):
+        """Return how many slots a slice's work needs."""
+        return self.weights[slice_.start]
+
+    def is_over(self, node_id):
+        """Return whether a target's slices need more slots than it bears."""
+        return self.overload(node_id) > 1.0
+
+    def overload(self, node_id):
+        """Return a target's work relative to what it bears."""
+        bearable = max(BEARABLE_SHARE, BEARABLE_LEVEL * self.mean_relative_load)
+        return self.relative_load(node_id) / bearable
+
+    def excess(self, node_id):
+        """Return the slots of work to move away from a target that is over."""
+        return self.loads[node_id] - self._relieved() * self.targets[node_id]
+
+    def room(self, node_id):
+        """Return the slots of work that may be moved to a target."""
+        return -self.excess(node_id)
+
+    def _relieved(self):
+        return max(RELIEVED_SHARE, RELIEVED_LEVEL * self.mean_relative_load)
+
+
 def build_view(
     cluster, table, name, now_s, warm_up=True, tuning=None, *, evacuated=frozenset()
 ):
@@ -170,14 +226,23 @@
         if m.service == name
     }
     live = {i for i, m in members.items() if table.is_live(m, now_s, report_timeout)}
-    targets = _targets(members, live, table, now_s, warm_up, tuning)
     slices = cluster.slices[name].slices
-    weights = _weights(slices, table.rates.get(name, {}))
+    rates = table.rates.get(name, {})
+    work, speeds = _work(table, name, live, tuning)
+    # If no node measures work, requests are counted.
+    if work:
+        request_s = sum(work.values()) / max(sum(rates.values()), IDLE_PER_S)
+    else:
+        request_s = _mean_service_s(table, live)
+    targets = _targets(members, live, table, now_s, warm_up, tuning, speeds, request_s)
+    weights = _weights(slices, work or rates)
+    hot_keys = table.hot_keys(name, now_s, *([HOT_WORK_KEYS_S] if work else []))
+    make_view = WorkView if work else ServiceView
     loads = dict.fromkeys(members, 0.0)
     for slice_ in slices:
         if slice_.owner in loads:
             loads[slice_.owner] += weights[slice_.start]
-    return ServiceView(
+    return make_view(
         config=cluster.config.services[name],
         members=members,
         targets=targets,
@@ -189,7 +254,10 @@
         slices=slices,
         weights=weights,
         loads=loads,
-        hot_keys=table.hot_keys(name, now_s),
+        hot_keys={
+            key_hash: rate * request_s if work else rate
+            for key_hash, rate in hot_keys.items()
+        },
         busy_fractions={node_id: table.busy_fraction(node_id) for node_id in members},
         service_s={node_id: table.service_ms(node_id) / 1000 for node_id in members},
         limits_per_s={
@@ -200,10 +268,27 @@
     )
 
 
-def _targets(members, live, table, now_s, warm_up, tuning):
-    """Return the capacity in slots of each node to which slices may be assigned."""
-    speeds = _speeds(table, live) if tuning.scale_by_speed else {}
-    mean_service_s = _mean_service_s(table, live)
+def _work(table, name, live, tuning):
+    """Return the work of each slice and the speeds of the servers.
+
+    The work is empty unless slices are weighted by it and some node measures it.
+    """
+    if tuning.by_work:
+        speeds = relative_speeds(
+            {node_id: table.kind_times(node_id) for node_id in live}
+        )
+        rates = table.rates.get(name, {})
+        work = slice_work(table.work.get(name, {}), rates, speeds)
+        if work:
+            return work, speeds
+    return {}, _speeds(table, live) if tuning.scale_by_speed else {}
+
+
+def _targets(members, live, table, now_s, warm_up, tuning, speeds, mean_service_s):
+    """Return the capacity in slots of each node to which slices may be assigned.
+
+    ``mean_service_s`` is the mean slot time of a request.
+    """
     targets = {}
     for node_id, member in sorted(members.items()):
         if node_id not in live or member.draining:
