Enable placement by work in the settings

Deployments ask for it by [load] place_by_work, and on the platform by terms.contracts that name health. There, rates are smoothed over 6 s instead of 2 s: a server with three slots would seem overloaded by chance. Sudden changes are still taken at once.

--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -7,6 +7,8 @@
 
 from abc import ABC, abstractmethod
 
+import attrs
+
 from comfreywharf.daemon.operating.decisions import discard_line
 from comfreywharf.daemon.operating.operators import BackendPort, OperatorPort
 from comfreywharf.daemon.ownership.fenced_grants import FencedGrants
@@ -127,6 +129,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._dialect = OwnDialect()
+        self.placement = attrs.evolve(self.placement, by_work=settings.place_by_work)
 
     @property
     def dialect(self):
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -70,6 +70,13 @@
 """A server that refuses a part of its requests although it has slots may accept the
 next attempt. After 0.3 s, a lookup that takes 120 ms misses its target of 400 ms."""
 
+HEALTH_CONTRACT = "health"
+"""The contract of services whose placement follows their servers' work and speed."""
+
+WORK_SMOOTHING_S = 6.0
+"""Where slices weigh work, a server with three slots and ten requests a second would
+seem overloaded by chance with averages over 2 s. A sudden change is noticed at once."""
+
 RELEASE_TIMEOUT_S = 5.0
 """How long a release waits until the server has finished its work on the range."""
 
@@ -98,6 +105,10 @@
         self._settings = settings
         self._dialect = PlatformDialect()
         self.store = Store(settings.store)
+        if HEALTH_CONTRACT in settings.contracts:
+            self.placement = attrs.evolve(
+                self.placement, by_work=True, smoothing_s=WORK_SMOOTHING_S
+            )
         self.check_port_after_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
         self.retry_fraction = RETRY_SHARE * settings.retry_fraction
         self.route_limits = RouteLimits(
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -45,6 +45,7 @@
     may send ``retry_fraction`` times the requests of a service as retries, and
     ``extra_retries`` beside them. ``grant_interval_s`` is the time between two grants
     if these are answers to heartbeats, and zero if they are sent at any time.
+    ``contracts`` are the names of the contracts that the servers keep to.
     """
 
     node: NodeSettings
@@ -68,6 +69,7 @@
     cold_extra_requests: float
     store_writes_per_s: float
     store_reads_per_s: float
+    contracts: frozenset[str] = frozenset()
 
 
 class _Fields:
@@ -145,6 +147,10 @@
     return number
 
 
+def _names(text):
+    return frozenset(text.replace(",", " ").split())
+
+
 def _uses_heartbeat_grants(text):
     if text not in GRANT_WAYS:
         raise ValueError(f"found {text!r}; expected {' or '.join(GRANT_WAYS)}")
@@ -202,6 +208,7 @@
         "store_writes_per_s": read("platform.platform.writesPerS", _positive, 400.0),
         "store_reads_per_s": read("platform.platform.readsPerS", _positive, 2000.0),
     }
+    contracts = optional("terms.contracts", _names, frozenset())
     uses_heartbeat_grants = read("grants", _uses_heartbeat_grants, False)
     if fields.findings:
         return None
@@ -232,5 +239,6 @@
         grant_interval_s=numbers["heartbeat_interval_s"]
         if uses_heartbeat_grants
         else 0.0,
+        contracts=contracts,
         **numbers,
     )
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -30,6 +30,19 @@
     assert settings.longest_hold_s == 10.0
 
 
+@pytest.mark.parametrize(
+    ("line", "by_work"),
+    [("", False), ("terms.contracts=pressure\n", False)]
+    + [("terms.contracts=pressure,health\n", True)],
+)
+def test_the_health_contract_enables_placement_by_work(tmp_path, line, by_work):
+    """Guards against a deployment that is placed in another way without being asked."""
+    settings = read(tmp_path, boot_text() + line).unwrap()
+    ports = PlatformPorts(settings)
+    assert ports.placement.by_work is by_work
+    assert (ports.placement == PlatformPorts.placement) is not by_work
+
+
 def test_all_findings_are_reported_together_with_their_positions(tmp_path):
     """An operator can correct all errors of a file at once."""
     text = boot_text().replace("drain=2000ms", "drain=soon")
--- a/comfreywharf/settings/model.py
+++ b/comfreywharf/settings/model.py
@@ -21,7 +21,8 @@
     else about other nodes. ``backend_port`` listens on loopback only.
     ``drift_per_mille`` bounds how much faster one machine's clock runs than
     another's. ``advertised_peer_port`` is the port at which other nodes reach the
-    peer port, if address translation changes it; 0 stands for ``peer_port``.
+    peer port, if address translation changes it; 0 stands for ``peer_port``. With
+    ``place_by_work``, slices weigh the slot time that their requests need.
     """
 
     node_id: str
@@ -38,3 +39,4 @@
     lease_ms: int = 1000
     drift_per_mille: int = 5
     advertised_peer_port: int = 0
+    place_by_work: bool = False
--- a/comfreywharf/settings/reader.py
+++ b/comfreywharf/settings/reader.py
@@ -11,6 +11,7 @@
     IntegerKind,
     NameKind,
     PortKind,
+    YesNoKind,
 )
 from comfreywharf.settings.model import Address, NodeSettings
 from comfreywharf.settings.schema import Key, check_names, read_keys
@@ -42,6 +43,7 @@
         Key("lease_ms", IntegerKind(MIN_LEASE_MS, MAX_LEASE_MS, "ms")),
         Key("drift_per_mille", IntegerKind(0, MAX_DRIFT_PER_MILLE, "per mille")),
     ),
+    "load": (Key("place_by_work", YesNoKind()),),
 }
 
 _PORTS = ("caller_port", "peer_port", "operator_port", "backend_port")
--- a/comfreywharf/settings/tests/builders.py
+++ b/comfreywharf/settings/tests/builders.py
@@ -21,6 +21,9 @@
     10.20.3.11:7101
 lease_ms = 1000
 drift_per_mille = 5
+
+[load]
+place_by_work = yes
 """
 
 INVALID_VALUES = {
@@ -37,6 +40,7 @@
     "seeds": ["10.20.2.11", "10.0.0.1:1 10.0.0.1:1", "a:1", "10.0.0.1:1,10.0.0.2:1"],
     "lease_ms": ["199", "10001", "1 s", ""],
     "drift_per_mille": ["-1", "51", "0.5"],
+    "place_by_work": ["", "maybe", "2"],
 }
 """Invalid values of each key; some are the port of another key."""
 
--- a/comfreywharf/settings/tests/test_reader.py
+++ b/comfreywharf/settings/tests/test_reader.py
@@ -18,7 +18,8 @@
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 KEYS = sorted(INVALID_VALUES)
-REQUIRED = sorted(set(KEYS) - {"stream", "seeds", "lease_ms", "drift_per_mille"})
+OPTIONAL = {"stream", "seeds", "lease_ms", "drift_per_mille", "place_by_work"}
+REQUIRED = sorted(set(KEYS) - OPTIONAL)
 
 
 @pytest.fixture(scope="module")
@@ -43,6 +44,7 @@
     assert settings.log == Address("10.20.0.5", 9200)
     assert settings.seeds[1] == Address("10.20.3.11", 7101)
     assert settings.drift_per_mille == 5
+    assert settings.place_by_work is True
 
 
 @pytest.mark.parametrize("name", ["riga-node.ini", "ahmedabad-node.ini"])
