Show the planner's view of each server's capacity

Whether a slow server owns fewer keys couldn't be seen. The planner now exposes planned_capacity_slots by service and node, from its latest round; it is empty where slices weigh requests.

--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -95,6 +95,7 @@
         return Gauges(
             owned_slices=dict(node.ownership.owned),
             backend_running_requests=node.forwarder.running,
+            planned_capacity_slots=node.planner.capacities,
             retry_tokens=node.ingress.retry_tokens,
             backend_slots=node.backend.announcement.slots if node.backend else 0,
             backend_limit_per_s=node.load.rate_limit.limit_per_s,
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -101,6 +101,13 @@
         _family(
             "owned_slices", _GAUGE, "service", "imbalance", "Slices that this node owns"
         ),
+        _family(
+            "planned_capacity_slots",
+            _GAUGE,
+            "service node",
+            "imbalance",
+            "Capacity of each server as the planner believes it: slots times speed",
+        ),
         _family(
             "backend_requests_total",
             _COUNTER,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -54,6 +54,7 @@
     evacuation_slices: int
     retry_tokens: dict[str, float]
     backend_limit_per_s: float | None = None
+    planned_capacity_slots: dict[tuple[str, str], float] = attrs.Factory(dict)
 
 
 class Metrics:
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -71,6 +71,7 @@
         "owner_unavailable_seconds_total": _with_one_label(metrics.owner_unavailable_s),
         "slices_moved_total": metrics.slices_moved,
         "owned_slices": _with_one_label(gauges.owned_slices),
+        "planned_capacity_slots": gauges.planned_capacity_slots,
         "backend_requests_total": _with_one_label(metrics.backend_requests),
         "backend_running_requests": _unlabelled(gauges.backend_running_requests),
         "backend_slots": _unlabelled(gauges.backend_slots),
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -10,6 +10,7 @@
 
 GAUGES = Gauges(
     owned_slices={"booking": 5},
+    planned_capacity_slots={("booking", "booking-1"): 2.4},
     backend_running_requests=3,
     backend_slots=12,
     backend_limit_per_s=14.4,
