--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -7,6 +7,8 @@
 
 from abc import ABC, abstractmethod
 
+import attrs
+
 from comfreywharf.daemon.operating.decisions import discard_line
 from comfreywharf.daemon.operating.operators import BackendPort, OperatorPort
 from comfreywharf.daemon.ownership.fenced_grants import FencedGrants
@@ -135,6 +137,7 @@
         self._dialect = OwnDialect()
         self.chooses_by_load = settings.choose_by_load
         self.fleet_admission = settings.fleet_admission
+        self.placement = attrs.evolve(self.placement, by_work=settings.place_by_work)
 
     @property
     def dialect(self):
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -71,10 +71,15 @@
 next attempt. After 0.3 s, a lookup that takes 120 ms misses its target of 400 ms."""
 
 HEALTH_CONTRACT = "health"
-"""The contract under which servers report their load, and are chosen by it."""
+"""The contract under which servers report their load. They are chosen by it, and keys
+are placed by their servers' work and speed."""
 PRESSURE = "pressure"
 """The contract of deployments in which callers compete for the services' capacity."""
 
+WORK_SMOOTHING_S = 6.0
+"""Where slices weigh work, a server with three slots and ten requests a second would
+seem overloaded by chance with averages over 2 s. A sudden change is noticed at once."""
+
 RELEASE_TIMEOUT_S = 5.0
 """How long a release waits until the server has finished its work on the range."""
 
@@ -103,6 +108,10 @@
         self._settings = settings
         self._dialect = PlatformDialect()
         self.store = Store(settings.store)
+        if HEALTH_CONTRACT in settings.contracts:
+            self.placement = attrs.evolve(
+                self.placement, by_work=True, smoothing_s=WORK_SMOOTHING_S
+            )
         self.check_port_after_s = MISSED_HEARTBEATS * settings.heartbeat_interval_s
         self.retry_fraction = RETRY_SHARE * settings.retry_fraction
         self.route_limits = RouteLimits(
--- a/comfreywharf/settings/model.py
+++ b/comfreywharf/settings/model.py
@@ -24,6 +24,7 @@
     peer port, if address translation changes it; 0 stands for ``peer_port``. With
     ``choose_by_load``, servers of services that aren't divided by key are chosen by the
     load that their nodes tell. ``fleet_admission`` is as in `Ports`.
+    With ``place_by_work``, slices weigh the slot time that their requests need.
     """
 
     node_id: str
@@ -42,3 +43,4 @@
     advertised_peer_port: int = 0
     choose_by_load: bool = False
     fleet_admission: bool = False
+    place_by_work: bool = False
--- a/comfreywharf/settings/reader.py
+++ b/comfreywharf/settings/reader.py
@@ -46,6 +46,7 @@
     "load": (
         Key("choose_by_load", YesNoKind()),
         Key("fleet_admission", YesNoKind()),
+        Key("place_by_work", YesNoKind()),
     ),
 }
 
--- a/comfreywharf/settings/tests/builders.py
+++ b/comfreywharf/settings/tests/builders.py
@@ -25,6 +25,7 @@
 [load]
 choose_by_load = yes
 fleet_admission = yes
+place_by_work = yes
 """
 
 INVALID_VALUES = {
@@ -43,6 +44,7 @@
     "drift_per_mille": ["-1", "51", "0.5"],
     "choose_by_load": ["", "maybe", "2"],
     "fleet_admission": ["", "maybe", "2"],
+    "place_by_work": ["", "maybe", "2"],
 }
 """Invalid values of each key; some are the port of another key."""
 
--- a/comfreywharf/settings/tests/test_reader.py
+++ b/comfreywharf/settings/tests/test_reader.py
@@ -20,7 +20,7 @@
 KEYS = sorted(INVALID_VALUES)
 OPTIONAL = {
     *("stream", "seeds", "lease_ms", "drift_per_mille"),
-    *("choose_by_load", "fleet_admission"),
+    *("choose_by_load", "fleet_admission", "place_by_work"),
 }
 REQUIRED = sorted(set(KEYS) - OPTIONAL)
 
@@ -49,6 +49,7 @@
     assert settings.drift_per_mille == 5
     assert settings.choose_by_load
     assert settings.fleet_admission is True
+    assert settings.place_by_work is True
 
 
 @pytest.mark.parametrize("name", ["riga-node.ini", "ahmedabad-node.ini"])
