--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -73,6 +73,7 @@
 HEALTH_CONTRACT = "health"
 """The contract under which servers report their load. They are chosen by it, and keys
 are placed by their servers' work and speed."""
+
 PRESSURE = "pressure"
 """The contract of deployments in which callers compete for the services' capacity."""
 
