Bound requests that a stopping node accepts by its end

A node got SIGTERM at 26.773 s, took a request at 29.791 s, which it may until 3.5 s after the signal, and the request waited in the queues of two servers until 32.190 s; the process ended 0.1 s later. Requests may wait 6 s there, longer than the 2 s that a stopping node keeps for running ones.

Requests that arrive while a node stops have a deadline 0.1 s before its end, so that an owner whose queue is longer refuses them at once as not run, and a server that runs one knows when it has to end. The test hangs a server: without the change the caller's connection is closed.

--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -54,6 +54,9 @@
 STOP_MARGIN_S = 0.5
 """The part of a bounded stop's grace period that is kept free at its end."""
 
+STOP_ANSWER_MARGIN_S = 0.1
+"""How long before the end of a bounded stop the last answers to callers are due."""
+
 
 class Node:
     """The process beside one backend server.
@@ -126,6 +129,7 @@
         self.leaving_backend = None
         self.leaving_servers = LeavingServers()
         self.stopping = False
+        self.answers_until_s = float("inf")
         self._announcing = None
         self.closed_to_new_work = False
         self.finishing = False
@@ -276,6 +280,7 @@
         """Stop within ``grace_s`` seconds: hand over all slices, finish requests."""
         self.stopping = True
         end_s = boottime_s() + grace_s - STOP_MARGIN_S
+        self.answers_until_s = end_s - STOP_ANSWER_MARGIN_S
         stop_within(self, caller_server, end_s)
         self.lifecycle.stop()
         self.report("node_stopped", reason="signal")
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -148,6 +148,11 @@
         request.ingress_node_id = self._node.settings.node_id
         # A node that was stopped or busy reads requests that have lain in the socket.
         arrived_s = now_s - unread_s(sock)
+        # A request that waits for a slot beyond the end of a stopping node would be cut
+        # off. With this deadline, its owner refuses it at once.
+        deadline_s = min(
+            arrived_s + request.remaining_ms / 1000, self._node.answers_until_s
+        )
         return Call(
             request=request,
             service=parsed.service,
@@ -157,7 +162,7 @@
             body=b"",
             sock=sock,
             began_s=now_s,
-            deadline_s=arrived_s + request.remaining_ms / 1000,
+            deadline_s=deadline_s,
             target_deadline_s=arrived_s + request.target_ms / 1000
             if request.target_ms
             else None,
--- a/comfreywharf/platform/tests/test_stopping.py
+++ b/comfreywharf/platform/tests/test_stopping.py
@@ -22,3 +22,17 @@
     assert answer.status == 503
     assert not any(run.instance == "i-n3" for run in deployment.ledger)
     stopping.join()
+
+
+def test_a_request_that_a_stopping_node_accepts_is_answered_before_its_end(deployment):
+    """Guards against callers that are cut off since a server was busy for too long."""
+    deployment.allow_long_requests()
+    node, server = deployment.nodes["n0"], deployment.servers["n3"]
+    server.may_finish.clear()
+    stopping = gevent.spawn(node.stop_within, GRACE_S, node.ports.caller_server)
+    wait_for(lambda: node.stopping)
+    answer = deployment.send_request("n0", "/stock/1", None, X_Deadline_Ms="9000")
+    assert answer.status in {503, 504}
+    assert not stopping.ready()
+    server.may_finish.set()
+    stopping.join()
