Move what concerns the backend server to its subpackage

The watch on a server's load and the mark of its nested calls concern the server beside the node, and go to daemon/servers. Process tests weren't run, since make stops there.

--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -17,8 +17,8 @@
 from comfreywharf.daemon.requests.caller_requests import parse_request
 from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
 from comfreywharf.daemon.requests.dispatch import AnswerTruncated
-from comfreywharf.daemon.requests.nested_calls import NestedCallMarker
 from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.servers.nested_calls import NestedCallMarker
 from comfreywharf.routing import Outcome, Reason
 from comfreywharf.transport.arrivals import unread_s
 
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -18,7 +18,7 @@
 from comfreywharf.daemon.requests.members import Members
 from comfreywharf.daemon.requests.quarantine import NodeQuarantine, request_fingerprint
 from comfreywharf.daemon.requests.replies import refusal
-from comfreywharf.daemon.requests.server_load import ServerLoadWatch
+from comfreywharf.daemon.servers.server_load import ServerLoadWatch
 from comfreywharf.daemon.servers.statements import AnswerKind
 from comfreywharf.load import HotKeys, Standing
 from comfreywharf.load.admission import AdmissionState, Result
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -8,7 +8,7 @@
 import attrs
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.requests.server_load import snapshot_from_message
+from comfreywharf.daemon.servers.server_load import snapshot_from_message
 from comfreywharf.load import Absences, Ejector, MemberLoad
 from comfreywharf.load.choice import within_bounds
 from comfreywharf.routing import Outcome, Reason
--- a/comfreywharf/daemon/tests/test_nested_calls.py
+++ b/comfreywharf/daemon/tests/test_nested_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from comfreywharf.daemon.requests.nested_calls import NestedCallMarker
+from comfreywharf.daemon.servers.nested_calls import NestedCallMarker
 from comfreywharf.load.callroutes import MIN_OBSERVATIONS, Run
 from comfreywharf.metrics import Metrics
 from comfreywharf.routes import RouteTable
--- a/comfreywharf/daemon/tests/test_server_load.py
+++ b/comfreywharf/daemon/tests/test_server_load.py
@@ -6,7 +6,7 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.node import Node
 from comfreywharf.daemon.ports import OwnPorts
-from comfreywharf.daemon.requests.server_load import snapshot_from_message
+from comfreywharf.daemon.servers.server_load import snapshot_from_message
 from comfreywharf.daemon.servers.statements import AnswerKind, Statement
 from comfreywharf.daemon.tests.builders import announcement, node_settings
 from comfreywharf.load import ByReportedLoad
