Rank nested calls by their run alone; place by work only under pressure

Calls of lookups (rank 2) kept the rank 1 of their route, and with their lead waited before the uploads of rank 1. A call has the rank of its run now: behind uploads, before new lookups.

--- a/comfreywharf/daemon/servers/nested_calls.py
+++ b/comfreywharf/daemon/servers/nested_calls.py
@@ -39,7 +39,7 @@
         if runs and self._routes.carries_calls(call.route):
             request = call.request
             request.nested = True
-            request.priority = inherited_rank(request.priority, runs)
+            request.priority = inherited_rank(runs)
             self._node.metrics.nested_call(request.service_name, request.priority)
         return runs
 
--- a/comfreywharf/load/callroutes.py
+++ b/comfreywharf/load/callroutes.py
@@ -56,17 +56,19 @@
     return [run for run in runs if run.deadline_s + EXPIRY_MARGIN_S >= expires_s]
 
 
-def inherited_rank(own_rank, runs):
-    """Return the rank of a call that one of ``runs`` made, on a route of ``own_rank``.
+def inherited_rank(runs):
+    """Return the rank of a call that one of ``runs`` made; there is at least one.
 
-    It is that of the least urgent run, unless the route's is more urgent. The call may
-    belong to any of the runs, and must not gain from one that it doesn't belong to.
+    It is that of the least urgent run. The call may belong to any of them, and must not
+    gain from one that it doesn't belong to. The rank of the call's own route doesn't
+    count: a call that is more urgent than its run would delay requests that are more
+    urgent than the run.
 
     >>> quote, fetch = Run(1, rank=0, deadline_s=2.0), Run(2, rank=2, deadline_s=5.0)
-    >>> inherited_rank(1, [quote]), inherited_rank(1, [quote, fetch])
-    (0, 1)
+    >>> inherited_rank([quote]), inherited_rank([quote, fetch])
+    (0, 2)
     """
-    return min(own_rank, max((run.rank for run in runs), default=own_rank))
+    return max(run.rank for run in runs)
 
 
 class CallRoutes:
--- a/comfreywharf/load/tests/test_callroutes.py
+++ b/comfreywharf/load/tests/test_callroutes.py
@@ -82,9 +82,27 @@
 def test_a_call_gains_nothing_from_a_run_that_may_not_have_made_it():
     """Guards against calls of less urgent runs that take a more urgent one's rank."""
     urgent, other = Run(1, rank=0, deadline_s=1.0), Run(2, rank=2, deadline_s=9.0)
-    assert inherited_rank(1, possible_runs([urgent, other], expires_s=5.0)) == 1
-    assert inherited_rank(1, possible_runs([urgent], expires_s=0.9)) == 0
-    assert inherited_rank(1, []) == 1
+    assert inherited_rank(possible_runs([urgent, other], expires_s=5.0)) == 2
+    assert inherited_rank(possible_runs([urgent, other], expires_s=0.9)) == 2
+    assert inherited_rank(possible_runs([urgent], expires_s=0.9)) == 0
+
+
+def test_a_call_isnt_more_urgent_than_its_run():
+    """Guards against calls of lookups that delay uploads, which are more urgent."""
+    queue = RankedQueue()
+    lookup = Run(1, rank=2, deadline_s=9.0)
+    call = Ticket(
+        flow=None,
+        deadline_s=0.7,
+        arrived_s=0.0,
+        rank=inherited_rank([lookup]),
+        nested=True,
+    )
+    upload = Ticket(flow=None, deadline_s=2.0, arrived_s=0.1, rank=1)
+    new_lookup = Ticket(flow=None, deadline_s=1.0, arrived_s=0.0, rank=2)
+    for ticket in (new_lookup, call, upload):
+        queue.push(ticket)
+    assert [queue.pop() for _ in range(3)] == [upload, call, new_lookup]
 
 
 class OwnerUnderLoad:
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -71,11 +71,11 @@
 next attempt. After 0.3 s, a lookup that takes 120 ms misses its target of 400 ms."""
 
 HEALTH_CONTRACT = "health"
-"""The contract under which servers report their load. They are chosen by it, and keys
-are placed by their servers' work and speed."""
+"""The contract under which servers report their load, and are chosen by it."""
 
 PRESSURE = "pressure"
-"""The contract of deployments in which callers compete for the services' capacity."""
+"""The contract of deployments in which callers compete for the services' capacity. Keys
+are placed by their servers' work and speed there, and levels of admission apply."""
 
 WORK_SMOOTHING_S = 6.0
 """Where slices weigh work, a server with three slots and ten requests a second would
@@ -109,7 +109,7 @@
         self._settings = settings
         self._dialect = PlatformDialect()
         self.store = Store(settings.store)
-        if HEALTH_CONTRACT in settings.contracts:
+        if PRESSURE in settings.contracts:
             self.placement = attrs.evolve(
                 self.placement, by_work=True, smoothing_s=WORK_SMOOTHING_S
             )
--- a/comfreywharf/platform/tests/test_translation.py
+++ b/comfreywharf/platform/tests/test_translation.py
@@ -33,10 +33,12 @@
 
 @pytest.mark.parametrize(
     ("line", "by_work"),
-    [("", False), ("terms.contracts=pressure\n", False)]
+    [("", False), ("terms.contracts=health\n", False)]
     + [("terms.contracts=pressure,health\n", True)],
 )
-def test_the_health_contract_enables_placement_by_work(tmp_path, line, by_work):
+def test_the_contract_of_competing_callers_enables_placement_by_work(
+    tmp_path, line, by_work
+):
     """Guards against a deployment that is placed in another way without being asked."""
     settings = read(tmp_path, boot_text() + line).unwrap()
     ports = PlatformPorts(settings)
