Leave calls alone whose run is less urgent than their route

Such calls are served as before now; those of runs at least as urgent as the route keep the rank and the place of their run.

--- a/comfreywharf/daemon/servers/nested_calls.py
+++ b/comfreywharf/daemon/servers/nested_calls.py
@@ -37,12 +37,16 @@
             return None
         runs = possible_runs(self._runs_in_progress(), call.expires_s)
         if runs and self._routes.carries_calls(call.route):
-            request = call.request
-            request.nested = True
-            request.priority = inherited_rank(runs)
-            self._node.metrics.nested_call(request.service_name, request.priority)
+            self._mark(call.request, inherited_rank(runs))
         return runs
 
+    def _mark(self, request, rank):
+        """Mark a call of a run of a rank, unless its route is more urgent than that."""
+        if rank <= request.priority:
+            request.nested = True
+            request.priority = rank
+            self._node.metrics.nested_call(request.service_name, rank)
+
     def observe_end(self, call, runs):
         """Learn from a call that has ended whether one of the runs may have made it."""
         if runs is None:
--- a/comfreywharf/daemon/tests/test_nested_calls.py
+++ b/comfreywharf/daemon/tests/test_nested_calls.py
@@ -94,3 +94,11 @@
     beside.learn()
     beside.configure(RouteTable(version=2))
     assert beside.serve(call()).request.nested is None
+
+
+def test_a_call_on_a_route_that_is_more_urgent_than_its_run_stays_as_it_is(beside):
+    """Guards against calls of lookups that delay uploads, which are more urgent."""
+    beside.learn()
+    beside.runs = [Run(1, rank=2, deadline_s=11.0)]
+    one = beside.serve(call())
+    assert (one.request.nested, one.request.priority) == (None, 1)
--- a/comfreywharf/load/callroutes.py
+++ b/comfreywharf/load/callroutes.py
@@ -60,9 +60,7 @@
     """Return the rank of a call that one of ``runs`` made; there is at least one.
 
     It is that of the least urgent run. The call may belong to any of them, and must not
-    gain from one that it doesn't belong to. The rank of the call's own route doesn't
-    count: a call that is more urgent than its run would delay requests that are more
-    urgent than the run.
+    gain from one that it doesn't belong to.
 
     >>> quote, fetch = Run(1, rank=0, deadline_s=2.0), Run(2, rank=2, deadline_s=5.0)
     >>> inherited_rank([quote]), inherited_rank([quote, fetch])
