--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -70,12 +70,10 @@
 """A server that refuses a part of its requests although it has slots may accept the
 next attempt. After 0.3 s, a lookup that takes 120 ms misses its target of 400 ms."""
 
-HEALTH_CONTRACT = "health"
-"""The contract under which servers report their load, and are chosen by it."""
-
 PRESSURE = "pressure"
-"""The contract of deployments in which callers compete for the services' capacity. Keys
-are placed by their servers' work and speed there, and levels of admission apply."""
+"""The contract of deployments in which callers compete for the services' capacity.
+Servers are chosen by their load there, keys are placed by their servers' work and
+speed, and levels of admission apply."""
 
 WORK_SMOOTHING_S = 6.0
 """Where slices weigh work, a server with three slots and ten requests a second would
@@ -127,7 +125,7 @@
         self.fleet_admission = PRESSURE in settings.contracts
         self.routes_apply_s = settings.routes_apply_s
         self.evacuate_s = settings.evacuate_s
-        self.chooses_by_load = HEALTH_CONTRACT in settings.contracts
+        self.chooses_by_load = PRESSURE in settings.contracts
         self.caller_server = None
         self.lifecycle = None
         self._routes = None
