Count nested calls with their rank in estimates of the wait

Nested calls have a lead before new requests of their rank, and were counted as more urgent in the share by which an estimated wait is divided. Estimates for new requests of the calls' rank became longer, and some were marked late, behind less urgent ones.

The new test fails without the change.

--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -397,7 +397,10 @@
     shares = state.rank_shares
     for rank in shares:
         shares[rank] *= 1 - RANK_WEIGHT
-    shares[ticket.effective_rank] = shares.get(ticket.effective_rank, 0.0) + RANK_WEIGHT
+    # Nested calls are short and many. If their lead made them more urgent here, new
+    # requests of their rank would seem to wait too long, and be marked late.
+    rank = ticket.rank if ticket.nested else ticket.effective_rank
+    shares[rank] = shares.get(rank, 0.0) + RANK_WEIGHT
     return Begin(ticket)
 
 
--- a/comfreywharf/load/tests/test_callroutes.py
+++ b/comfreywharf/load/tests/test_callroutes.py
@@ -162,3 +162,39 @@
     owner = OwnerUnderLoad(nested=True, calls_per_s=100, fetches_per_s=20).run(30)
     least = 0.25 * (sum(owner.served.values()) / sum(owner.arrived.values()))
     assert owner.fraction_served("fetch") > least
+
+
+def test_calls_do_not_make_new_requests_of_their_rank_late():
+    """Guards against new requests that seem to wait for all calls of running work.
+
+    Counted as more urgent, the many short calls made the estimated wait of a request up
+    to ten times as long, so that it was put behind less urgent ones.
+    """
+    limit = ConcurrencyLimit(1, ramp_up=False)
+    state = AdmissionState(limit, 256, random.Random(1), queue=RankedQueue())
+    for number in range(200):
+        now_s = number * 0.1
+        call = Ticket(
+            flow=None,
+            deadline_s=now_s + 0.4,
+            arrived_s=now_s,
+            rank=1,
+            kind="call",
+            nested=True,
+        )
+        decide(state, Arrived(call), now_s)
+        decide(state, Finished(call, Result.ANSWERED), now_s + 0.03)
+    running, waiting = (
+        Ticket(
+            flow=None,
+            deadline_s=24.0,
+            arrived_s=21.0,
+            rank=1,
+            kind="order",
+            target_s=21.25,
+        )
+        for _ in "ab"
+    )
+    decide(state, Arrived(running), 21.0)
+    decide(state, Arrived(waiting), 21.0)
+    assert not waiting.late
