Keep a minimum share of an overloaded server's slots for each rank

The minimum of the least urgent rank was admitted where it arrives, but hardly served: the owner's queue is ordered by rank alone, and more urgent requests were always there.

While the demand exceeds the slots, waiting ranks are credited their share of the time of each started request, and a rank whose credit covers its next request gets the next slot. Estimates of the wait count on it. Shares are of time and the target is by number, so that the share is 0.4 instead of 0.25.

--- a/comfreywharf/daemon/requests/fleet_admission.py
+++ b/comfreywharf/daemon/requests/fleet_admission.py
@@ -77,6 +77,7 @@
             (ticket.rank, ticket.kind) for ticket in state.queue if not ticket.late
         )
         level = self._overload.update(waiting, now_s)
+        state.minimums.shares = self._overload.minimum_shares
         if level is not self._reported:
             self._report_change(level, now_s)
         if level is None:
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -198,6 +198,7 @@
             self._admission = Admission(state)
             if self._node.ports.fleet_admission:
                 service = backend.announcement.service
+                state.minimums.started = self._node.metrics.minimum_starts[service]
                 self._level = ServerLevel(self._node, service, state)
 
     # At the owner.
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -13,6 +13,7 @@
 from comfreywharf.load.estimates import ServiceTimes
 from comfreywharf.load.fairqueue import FairQueue, RequestQueue, Ticket
 from comfreywharf.load.limits import ConcurrencyLimit
+from comfreywharf.load.minimums import MinimumShares
 from comfreywharf.routing import Reason
 
 __all__ = [
@@ -136,7 +137,8 @@
     ``bounds`` bound the requests while the server is cold or names a limit. ``times``
     are the service times of all requests, ``kind_times`` those of each kind.
     ``shed_fraction`` is the moving fraction of refused requests, ``rank_shares`` the
-    moving shares of the ranks in the started ones. The server has been drained for a
+    moving shares of the ranks in the started ones. ``minimums`` keep some of the slots
+    for each rank while the server is overloaded. The server has been drained for a
     suspect since ``suspect_drain_since_s``; no further suspect is started before
     ``suspect_not_before_s``. Benchmarks and tests set ``fair`` or ``by_deadline`` to
     false to show the effect of the mechanism.
@@ -160,6 +162,7 @@
     suspect_not_before_s: float = float("-inf")
     rank_shares: dict[int, float] = attrs.Factory(dict)
     retry_after: RetryAfter = attrs.Factory(lambda: RetryAfter())
+    minimums: MinimumShares = attrs.Factory(MinimumShares)
 
     def more_urgent_share(self, rank):
         """Return the fraction of started requests that were more urgent than a rank."""
@@ -254,7 +257,8 @@
     if ticket.max_wait_s is None:
         return False
     ahead = state.queue.ahead_of(ticket) + bodies_ahead + 1
-    return state.wait_s(ahead, now_s) > ticket.max_wait_s
+    wait_s = state.wait_s(ahead, now_s)
+    return min(wait_s, _minimum_wait_s(state, ticket, now_s)) > ticket.max_wait_s
 
 
 def _arrive_suspect(state, ticket, now_s):
@@ -317,13 +321,28 @@
     wait_s = state.wait_s(ahead, now_s)
     # More urgent requests that arrive later still run before this one.
     wait_s /= max(1 - state.more_urgent_share(ticket.effective_rank), MIN_SLOT_SHARE)
+    wait_s = min(wait_s, _minimum_wait_s(state, ticket, now_s))
     return now_s + wait_s + state.typical_s(ticket.kind, now_s)
 
 
+def _minimum_wait_s(state, ticket, now_s):
+    """Return within what time the minimum share of a request's rank serves it."""
+    if ticket.nested or not state.minimums.shares:
+        return float("inf")
+    slots_wait_s = state.minimums.wait_s(
+        ticket.rank,
+        state.queue.ahead_in_rank(ticket) + 1,
+        state.typical_s(ticket.kind, now_s),
+        state.limit.max_in_flight(),
+    )
+    return max(slots_wait_s, state.bounds.wait_s(1, now_s))
+
+
 def _begin_next(state, now_s):
     actions = _begin_suspect(state, now_s)
     while state.queue and _slot_available(state, now_s):
-        ticket = state.queue.pop(skip=_flows_at_limit(state))
+        owed = _owed_ticket(state, now_s)
+        ticket = owed or state.queue.pop(skip=_flows_at_limit(state))
         if ticket is None:
             break
         if _misses_deadline(state, ticket, now_s):
@@ -338,10 +357,25 @@
             else:
                 actions.append(_shed_for_lack_of_room(state, ticket, now_s))
         else:
+            if owed:
+                state.minimums.record_owed_start(ticket.rank)
             actions.append(_begin(state, ticket, now_s))
     return actions
 
 
+def _owed_ticket(state, now_s):
+    """Remove and return the next request of a rank that is owed a slot, or ``None``."""
+    if not state.minimums.shares:
+        return None
+    first = state.queue.first_by_rank()
+    work_s = {rank: state.typical_s(t.kind, now_s) for rank, t in first.items()}
+    rank = state.minimums.owed(work_s)
+    if rank is None:
+        return None
+    state.queue.remove(first[rank])
+    return first[rank]
+
+
 def _misses_target(state, ticket, now_s):
     if ticket.target_s is None:
         return False
@@ -394,6 +428,12 @@
     flows = state.flows_in_flight
     flows[ticket.flow] = flows.get(ticket.flow, 0) + 1
     state.shed_fraction *= 1 - SHED_WEIGHT
+    if state.minimums.shares:
+        state.minimums.record_started(
+            None if ticket.nested else ticket.rank,
+            state.typical_s(ticket.kind, now_s),
+            [*state.queue.first_by_rank()],
+        )
     shares = state.rank_shares
     for rank in shares:
         shares[rank] *= 1 - RANK_WEIGHT
--- a/comfreywharf/load/fairqueue.py
+++ b/comfreywharf/load/fairqueue.py
@@ -96,6 +96,17 @@
         A queue without flows ignores ``skip``.
         """
 
+    def first_by_rank(self):
+        """Return the next ticket of each waiting rank, apart from nested calls.
+
+        It is empty if the queue isn't ordered by rank.
+        """
+        return {}
+
+    def ahead_in_rank(self, ticket):
+        """Return how many tickets of a new one's rank are served before it."""
+        return self.ahead_of(ticket)
+
     @abstractmethod
     def remove(self, ticket):
         """Remove a waiting ticket; return false if it doesn't wait here."""
@@ -142,6 +153,22 @@
         waiting = [rank for rank, tickets in self._ranks.items() if tickets]
         return self._ranks[min(waiting)].pop(0) if waiting else None
 
+    def first_by_rank(self):
+        """Return the next ticket of each rank; late ones follow those in time."""
+        first = {}
+        for effective_rank in sorted(self._ranks):
+            tickets = self._ranks[effective_rank]
+            if tickets and not tickets[0].nested:
+                first.setdefault(tickets[0].rank, tickets[0])
+        return first
+
+    def ahead_in_rank(self, ticket):
+        """Return how many tickets of the rank wait; late ones count for late ones."""
+        ahead = len(self._ranks.get(ticket.rank, ()))
+        if ticket.late:
+            ahead += len(self._ranks.get(ticket.effective_rank, ()))
+        return ahead
+
     def remove(self, ticket):
         """Remove a waiting ticket; return false if it doesn't wait here."""
         tickets = self._ranks.get(ticket.effective_rank, [])
--- a/comfreywharf/load/overload.py
+++ b/comfreywharf/load/overload.py
@@ -56,8 +56,13 @@
 """A wait that is off by its wanted length changes what is admitted by the first
 fraction of the slots, and any wait by at most the second."""
 
-MIN_SHARE = 0.25
-"""Each rank keeps this share of the fraction that all requests together get."""
+MIN_SHARE = 0.4
+"""Each rank keeps this share of the fraction that all requests together get.
+
+The target is that each kind of request is served at least a quarter as often as all.
+The share is one of slot time, and urgent requests are often the shorter ones, so that
+more of them are served in the same time.
+"""
 
 FORWARDED_FRACTION = 0.05
 """Fraction of the requests above a level that are forwarded all the same. Without
@@ -113,7 +118,7 @@
     >>> fractions_by_rank({0: 2.0, 1: 2.0, 2: 4.0}, capacity=6.0)
     {0: 1.0, 1: 1.0, 2: 0.5}
     >>> fractions_by_rank({1: 8.0, 2: 8.0}, capacity=8.0)
-    {1: 0.875, 2: 0.125}
+    {1: 0.75, 2: 0.25}
     """
     total = sum(demand.values())
     if total <= capacity:
@@ -138,7 +143,8 @@
     Demand is counted in slot-seconds per second: arrivals times the mean work of their
     kind. The demand that ingress nodes refused doesn't arrive; it is estimated from
     what arrives and the fraction that is admitted. ``level`` is ``None`` while the
-    server isn't overloaded.
+    server isn't overloaded. ``minimum_shares`` are the fractions of the slot time that
+    are kept for each rank, empty unless the demand exceeds the slots.
 
     >>> overload = ServerOverload(slots=1)
     >>> overload.record_work("lookup", 0.1)
@@ -151,6 +157,7 @@
 
     slots: int
     level: Level | None = None
+    minimum_shares: dict = attrs.Factory(dict)
     _work_s: dict = attrs.Factory(dict)
     _arrived: dict = attrs.Factory(dict)
     _arrived_nested: float = 0.0
@@ -216,8 +223,24 @@
         if self.level is None:
             # A level is set again only for demand that arrives, not for an estimate.
             self._demand.update(self._received)
+        self.minimum_shares = self._minimum_shares()
         return self.level
 
+    def _minimum_shares(self):
+        """Return the share of the slot time that `fractions_by_rank` admits at least.
+
+        It holds without a level too: more urgent requests may fill the slots without
+        waiting for long.
+        """
+        total = sum(self._demand.values())
+        if total + self._nested_demand <= self.slots:
+            return {}
+        left = max(1 - self._nested_demand / self.slots, 0.0)
+        return {
+            rank: MIN_SHARE * left * demand / total
+            for rank, demand in self._demand.items()
+        }
+
     def _pressure(self, waiting):
         """Return the longest wait of a rank, relative to the wanted wait of the rank.
 
@@ -244,6 +267,7 @@
 
     def _reset(self, now_s):
         self.level = None
+        self.minimum_shares = {}
         self._arrived.clear()
         self._arrived_nested = self._missed = 0.0
         self._received.clear()
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -294,6 +294,13 @@
             "queue",
             "Callers refused where they arrived, since their Retry-After hadn't passed",
         ),
+        _family(
+            "minimum_starts_total",
+            _COUNTER,
+            "service rank",
+            "queue",
+            "Requests that got a slot by the minimum share of their rank",
+        ),
         _family(
             "admission_level_rank",
             _GAUGE,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -84,6 +84,7 @@
         self.refused_retries = defaultdict(int)
         self.nested_calls = defaultdict(int)
         self.level_refusals = defaultdict(int)
+        self.minimum_starts = defaultdict(dict)
 
     def request_ended(self, service, outcome, reason, duration_s):
         """Count a caller's request; ``service`` is empty if it is unknown."""
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -82,6 +82,11 @@
         "admission_refusals_total": metrics.admission_refusals,
         "level_refusals_total": metrics.level_refusals,
         "early_return_refusals_total": _with_one_label(gauges.early_return_refusals),
+        "minimum_starts_total": {
+            (service, str(rank)): count
+            for service, starts in metrics.minimum_starts.items()
+            for rank, count in starts.items()
+        },
         "admission_level_rank": _with_one_label(
             {name: rank for name, (rank, _) in gauges.admission_levels.items()}
         ),
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -51,6 +51,7 @@
     metrics.retry_refused(service)
     metrics.nested_call(service, 0)
     metrics.refused_by_level(service, 2)
+    metrics.minimum_starts[service][2] = 3
     metrics.loop_woke(0.003)
     metrics.event_reported("lease_lapsed", "warning")
     metrics.unknown_name_read("heartbeat")
