Pass on the loads of other servers in replies

At full size, choice by reported load hardly had loads to choose by. Each of 66 nodes sends some nine quotes a second to 23 servers, and a load counts for 1 s: both of two candidates have one in 10 of 100 choices by arithmetic, the others go by latency.

A reply of a service without keys also tells the four newest loads that the node knows from replies to its own requests. Each is passed on once, with its age; the newer one counts. Only with the switch that chooses by load.

--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -92,7 +92,12 @@
             cold_left_s = node.load.cold.cold_left_s(boottime_s())
             served.reply.cold_ms = math.ceil(cold_left_s * 1000) or None
             served.reply.limit_per_s = node.load.rate_limit.limit_per_s
-            served.reply.load = node.load.server_load.message(boottime_s())
+            now_s = boottime_s()
+            served.reply.load = node.load.server_load.message(now_s)
+            members = node.load.members
+            served.reply.passed_loads = members.passed_loads(
+                request.service_name, now_s
+            )
         return served
 
     def _serve(self, request, body, now_s):
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -8,9 +8,13 @@
 import attrs
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.servers.server_load import snapshot_from_message
+from comfreywharf.daemon.servers.server_load import (
+    passed_load_message,
+    snapshot_from_message,
+)
 from comfreywharf.load import Absences, Ejector, MemberLoad
 from comfreywharf.load.choice import within_bounds
+from comfreywharf.load.passedloads import MAX_PASSED_LOADS, freshest_loads
 from comfreywharf.routing import Outcome, Reason
 
 __all__ = ["Members", "SentRequest"]
@@ -133,6 +137,7 @@
         self._update_absences(group, sent, reply)
         _update_bounds(sent.member, reply, boottime_s())
         _update_load(sent, reply, boottime_s())
+        _update_passed_loads(group, reply, boottime_s())
         failed = _failed(reply)
         if failed is None:
             if reply is not None and reply.reason in _NO_ROOM:
@@ -155,6 +160,19 @@
         if changed is not None:
             self._report_ejection(sent, *changed)
 
+    def passed_loads(self, service, now_s):
+        """Return the `PassedLoad` messages for a reply of this node; ``None`` for none.
+
+        Its own server's load is told by itself.
+        """
+        group = self._services.get(service)
+        if group is None or not self._node.ports.chooses_by_load:
+            return None
+        own_id = self._node.settings.node_id
+        others = [m for m in group.members.values() if m.node_id != own_id]
+        found = freshest_loads(others, now_s)
+        return [passed_load_message(each, now_s) for each in found] or None
+
     @staticmethod
     def _update_absences(group, sent, reply):
         if reply is None:
@@ -205,6 +223,8 @@
             if member.announced_offset != entry.announced_offset:
                 member.reset_measurements(entry.announced_offset)
                 member.cold_until_s = now_s + cold_start_s
+                # Loads of the earlier start may still be passed on.
+                member.load_received_s = now_s
             member.slots = entry.slots
             member.near = entry.failure_domain == own_domain
             members[entry.node_id] = member
@@ -263,6 +283,17 @@
         sent.member.record_load(load, now_s)
 
 
+def _update_passed_loads(group, reply, now_s):
+    """Update the loads of other members that a reply passes on."""
+    if reply is None or not reply.passed_loads:
+        return
+    for passed in reply.passed_loads[:MAX_PASSED_LOADS]:
+        member = group.members.get(passed.node_id)
+        load = snapshot_from_message(passed.load)
+        if member is not None and load is not None:
+            member.record_passed_load(load, passed.age_ms / 1000, now_s)
+
+
 def _failed(reply):
     """Return whether a reply is a failure of its member; ``None`` if it isn't known."""
     if reply is None:
--- a/comfreywharf/daemon/servers/server_load.py
+++ b/comfreywharf/daemon/servers/server_load.py
@@ -5,9 +5,9 @@
 
 from comfreywharf.daemon.servers.statements import AnswerKind
 from comfreywharf.load.serverload import LoadSnapshot, ServerLoadState
-from comfreywharf.transport.gen.ttypes import ServerLoad
+from comfreywharf.transport.gen.ttypes import PassedLoad, ServerLoad
 
-__all__ = ["ServerLoadWatch", "snapshot_from_message"]
+__all__ = ["ServerLoadWatch", "passed_load_message", "snapshot_from_message"]
 
 SETTLED_S = 0.05
 """Time after which the server must have counted a request that was sent to it."""
@@ -72,12 +72,7 @@
             admission.limit.max_in_flight(),
             now_s,
         )
-        return ServerLoad(
-            running=load.running,
-            waiting=load.waiting,
-            slots=load.slots,
-            work_ms=min(round(load.work_s * 1000), MAX_WORK_MS),
-        )
+        return _message(load)
 
     def _report_damaged(self, text):
         self._node.metrics.damaged_load_read()
@@ -93,6 +88,24 @@
             report("load_doubted", reported=reported, in_flight=in_flight)
 
 
+def passed_load_message(member, now_s):
+    """Return the `PassedLoad` of a `MemberLoad` whose load is known."""
+    return PassedLoad(
+        node_id=member.node_id,
+        load=_message(member.load),
+        age_ms=round((now_s - member.load_received_s) * 1000),
+    )
+
+
+def _message(load):
+    return ServerLoad(
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        work_ms=min(round(load.work_s * 1000), MAX_WORK_MS),
+    )
+
+
 def snapshot_from_message(message):
     """Return the `LoadSnapshot` of a `ServerLoad`; ``None`` if it says what can't be.
 
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -15,7 +15,7 @@
 from comfreywharf.records.tests.builders import make_member
 from comfreywharf.routes import RoutedService, RouteTable
 from comfreywharf.routing import Reason
-from comfreywharf.transport.gen.ttypes import ServerLoad
+from comfreywharf.transport.gen.ttypes import PassedLoad, ServerLoad
 
 COLD_TERMS = ColdTerms(requests_per_s=4.0)
 COLD_START_S = 3.0
@@ -182,6 +182,73 @@
     assert members._services["files"].members["a"].load.present == 8
 
 
+def passing_reply(node_id, **load):
+    """Return a full server's refusal that passes on another server's load."""
+    reply = load_reply()
+    fields = {"running": 2, "waiting": 0, "slots": 3, "work_ms": 100, **load}
+    passed = PassedLoad(node_id=node_id, load=ServerLoad(**fields), age_ms=200)
+    reply.passed_loads = [passed]
+    return reply
+
+
+def three_members():
+    """Return members that choose by load, of which the first is beside this node."""
+    entries = [entry(name, "files", f"10.0.0.{n}", n) for n, name in enumerate("abc")]
+    members = make_members(*entries)
+    members._node.settings.node_id = "a"
+    members._node.ports.chooses_by_load = True
+    members.choose("files")
+    return members
+
+
+def test_a_reply_tells_the_load_of_another_member(monkeypatch):
+    """Guards against a choice between servers whose loads only others know."""
+    members, now_s = three_members(), members_module.boottime_s() + 1.0
+    monkeypatch.setattr(members_module, "boottime_s", lambda: now_s)
+    members.record_outcome(members.record_sent("files", "b"), passing_reply("c"))
+    assert members._services["files"].members["c"].load.present == 2
+
+
+@pytest.mark.parametrize(
+    ("node_id", "load"), [("unknown", {}), ("c", {"slots": 0}), ("c", {"running": -1})]
+)
+def test_a_passed_load_that_says_what_cannot_be_is_ignored(node_id, load):
+    """Guards against a node of another build, and one that knows other members."""
+    members = three_members()
+    reply = passing_reply(node_id, **load)
+    members.record_outcome(members.record_sent("files", "b"), reply)
+    assert members._services["files"].members["c"].load is None
+
+
+def test_loads_are_passed_on_by_one_node_and_for_a_short_time():
+    """Guards against loads that seem newer with each node that passes them on."""
+    members, now_s = three_members(), members_module.boottime_s()
+    members.record_outcome(members.record_sent("files", "b"), passing_reply("c"))
+    (passed,) = members.passed_loads("files", members_module.boottime_s())
+    assert passed.node_id == "b"
+    assert passed.load == load_reply().load
+    assert members.passed_loads("files", now_s + 2.0) is None
+
+
+def test_nothing_is_passed_on_where_servers_are_not_chosen_by_load():
+    """Guards against longer replies in a deployment without the setting."""
+    members = three_members()
+    members.record_outcome(members.record_sent("files", "b"), load_reply())
+    members._node.ports.chooses_by_load = False
+    assert members.passed_loads("files", members_module.boottime_s()) is None
+
+
+def test_a_load_from_before_a_restart_is_not_taken_from_others(monkeypatch):
+    """Guards against a server that is avoided for the load of its earlier start."""
+    members, now_s = three_members(), members_module.boottime_s() + 1.0
+    state = members._node.follower.state
+    state.members["c"] = entry("c", "files", "10.0.0.2", 9)
+    monkeypatch.setattr(members_module, "boottime_s", lambda: now_s)
+    members.choose("files")
+    members.record_outcome(members.record_sent("files", "b"), passing_reply("c"))
+    assert members._services["files"].members["c"].load is None
+
+
 class RecordingChooser(TwoChoices):
     """Keep the terms of the last choice."""
 
--- a/comfreywharf/load/members.py
+++ b/comfreywharf/load/members.py
@@ -35,7 +35,8 @@
     its requests are bounded until ``cold_until_s``, or that it takes ``limit_per_s``
     requests per second, which counts until ``limited_until_s``. ``load`` is the load
     that this node told last, ``None`` if it tells none, and ``sent_since_load`` how
-    many requests were sent there since.
+    many requests were sent there since. ``load_passed_on`` is whether the load came in
+    a reply of another node.
     """
 
     node_id: str
@@ -54,6 +55,7 @@
     load: LoadSnapshot | None = None
     load_received_s: float = float("-inf")
     sent_since_load: int = 0
+    load_passed_on: bool = False
 
     def is_cold(self, now_s):
         """Return whether the server's requests are bounded, as it is cold."""
@@ -101,6 +103,21 @@
         self.load = load
         self.load_received_s = now_s
         self.sent_since_load = 0
+        self.load_passed_on = False
+
+    def record_passed_load(self, load, age_s, now_s):
+        """Record a `LoadSnapshot` that another node received ``age_s`` ago.
+
+        It is ignored if a newer one is known. Requests of this node that are still in
+        flight may be missing in it, and are added by the estimate.
+        """
+        received_s = now_s - age_s
+        if not 0 <= age_s <= MAX_REPORT_AGE_S or received_s <= self.load_received_s:
+            return
+        self.load = load
+        self.load_received_s = received_s
+        self.sent_since_load = min(self.sent_since_load, self.in_flight)
+        self.load_passed_on = True
 
     def has_load(self, now_s):
         """Return whether a recent load is known, with the duration of work."""
--- a/comfreywharf/load/tests/test_choice_by_load.py
+++ b/comfreywharf/load/tests/test_choice_by_load.py
@@ -2,9 +2,11 @@
 
 import random
 
+import attrs
 import pytest
 
 from comfreywharf.load.choice import ByReportedLoad, ChoiceTerms, NearFirst
+from comfreywharf.load.passedloads import MAX_PASSED_LOADS
 from comfreywharf.load.serverload import MAX_REPORT_AGE_S
 from comfreywharf.load.tests.builders import load_snapshot, member
 from comfreywharf_dev.comparisons.call_loads import CallLoad
@@ -34,6 +36,21 @@
 )
 
 
+MANY_SENDERS = attrs.evolve(
+    UNEVEN,
+    name="many senders",
+    senders=66,
+    servers=23,
+    slots=7,
+    runs_per_s=640.0,
+    call_s=0.129,
+    call_deadline_s=2.54,
+    speeds=(0.7, 0.7, 1.6),
+    long_fraction=0.0,
+    call_target_s=0.437,
+)
+
+
 def loaded(node_id, near=False, received_s=NOW_S, **load):
     """Return a member whose reply told its load."""
     built = member(node_id, latency_s=0.1)
@@ -49,17 +66,17 @@
     return [chooser.choose(members, rng, terms).node_id for _ in range(count)]
 
 
-def outcomes_of(chooser, **way):
+def outcomes_of(chooser, load=UNEVEN, seeds=SEEDS, **way):
     """Return the outcomes of all seeds on uneven servers."""
     way = CallWay(name="", answers="", passes=2, make_chooser=chooser, **way)
-    return [simulate_calls(UNEVEN, way, seed=seed) for seed in SEEDS]
+    return [simulate_calls(load, way, seed=seed) for seed in seeds]
 
 
-def figures(outcomes):
+def figures(outcomes, target_s=TARGET_S):
     """Return the fraction served, that served in time, the mean time, and far sends."""
     runs = sum(each.runs for each in outcomes)
     answers_s = [answer_s for each in outcomes for answer_s in each.answers_s]
-    in_time = sum(answer_s <= TARGET_S for answer_s in answers_s)
+    in_time = sum(answer_s <= target_s for answer_s in answers_s)
     sends = sum(each.sends for each in outcomes)
     return (
         len(answers_s) / runs,
@@ -84,6 +101,56 @@
     assert far[1] < far[0]
 
 
+def test_loads_that_replies_pass_on_serve_more_callers_in_time():
+    """Guards against choices without any load in a fleet of many senders.
+
+    Each of 66 nodes sends 10 requests a second to 23 servers, so that the reply of a
+    server is more often than not older than a load may be.
+    """
+    found = []
+    for passed_loads in (0, MAX_PASSED_LOADS):
+        outcomes = outcomes_of(
+            ByReportedLoad,
+            MANY_SENDERS,
+            seeds=(1, 2),
+            reports_load=True,
+            passed_loads=passed_loads,
+        )
+        found.append(figures(outcomes, MANY_SENDERS.call_target_s))
+    served, in_time, mean_s, far = zip(*found, strict=True)
+    assert served[1] >= served[0] - 0.002
+    assert in_time[1] > in_time[0] + 0.02
+    assert mean_s[1] < 0.95 * mean_s[0]
+    assert far[1] < far[0]
+
+
+def test_a_passed_load_does_not_replace_a_newer_one():
+    """Guards against a load that becomes older by a reply that took long."""
+    known = loaded("a", received_s=NOW_S - 0.1, running=1)
+    known.record_passed_load(load_snapshot(running=3, waiting=9), 0.2, NOW_S)
+    assert known.load.running == 1
+    known.record_passed_load(load_snapshot(running=3, waiting=9), 0.05, NOW_S)
+    assert known.load.running == 3
+    assert known.load_received_s == NOW_S - 0.05
+
+
+@pytest.mark.parametrize("age_s", [-0.5, MAX_REPORT_AGE_S + 0.01])
+def test_a_passed_load_of_an_impossible_age_is_ignored(age_s):
+    """Guards against a node that passes on a load as new for ever."""
+    known = member("a")
+    known.record_passed_load(load_snapshot(running=3), age_s, NOW_S)
+    assert not known.has_load(NOW_S)
+
+
+def test_requests_in_flight_count_beside_a_passed_load():
+    """Guards against all requests to the server that another node saw idle."""
+    members = [loaded("a"), loaded("b")]
+    for _ in range(4):
+        members[0].begin()
+    members[0].record_passed_load(load_snapshot(), 0.0, NOW_S + 0.01)
+    assert set(chosen(members)) == {"b"}
+
+
 @pytest.mark.parametrize("received_s", [None, NOW_S - MAX_REPORT_AGE_S - 0.01])
 def test_without_a_recent_load_the_choice_is_by_latency(received_s):
     """Guards against a stale load, and against a node of an older build left out."""
--- a/comfreywharf/transport/gen/ttypes.py
+++ b/comfreywharf/transport/gen/ttypes.py
@@ -694,6 +694,105 @@
         return not (self == other)
 
 
+class PassedLoad(object):
+    """
+    Attributes:
+     - node_id
+     - load
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'load',
+        'age_ms',
+    )
+
+
+    def __init__(self, node_id=None, load=None, age_ms=None,):
+        self.node_id = node_id
+        self.load = load
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.load = ServerLoad()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PassedLoad')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 2)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.load is None:
+            raise TProtocolException(message='Required field load is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AdmissionLevel(object):
     """
     Attributes:
@@ -896,6 +995,7 @@
      - calls_per_run
      - load
      - admission
+     - passed_loads
 
     """
 
@@ -917,10 +1017,11 @@
         'calls_per_run',
         'load',
         'admission',
+        'passed_loads',
     )
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None, calls_per_run=None, load=None, admission=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, stream_id=None, reason=None, retry_after_ms=None, owner_hint=None, event_clock=None, retries_left=None, cold_ms=None, limit_per_s=None, leaving=None, backend_reached=None, calls_per_run=None, load=None, admission=None, passed_loads=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -938,6 +1039,7 @@
         self.calls_per_run = calls_per_run
         self.load = load
         self.admission = admission
+        self.passed_loads = passed_loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1048,6 +1150,17 @@
                     self.admission.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.passed_loads = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = PassedLoad()
+                        _elem25.read(iprot)
+                        self.passed_loads.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1069,8 +1182,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter20 in self.headers:
-                iter20.write(oprot)
+            for iter26 in self.headers:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1120,9 +1233,9 @@
         if self.calls_per_run is not None:
             oprot.writeFieldBegin('calls_per_run', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.calls_per_run))
-            for kiter21, viter22 in self.calls_per_run.items():
-                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
-                oprot.writeDouble(viter22)
+            for kiter27, viter28 in self.calls_per_run.items():
+                oprot.writeString(kiter27.encode('utf-8') if sys.version_info[0] == 2 else kiter27)
+                oprot.writeDouble(viter28)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -1133,6 +1246,13 @@
             oprot.writeFieldBegin('admission', TType.STRUCT, 17)
             self.admission.write(oprot)
             oprot.writeFieldEnd()
+        if self.passed_loads is not None:
+            oprot.writeFieldBegin('passed_loads', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.passed_loads))
+            for iter29 in self.passed_loads:
+                iter29.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1950,11 +2070,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = Header()
-                        _elem28.read(iprot)
-                        self.headers.append(_elem28)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Header()
+                        _elem35.read(iprot)
+                        self.headers.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2012,8 +2132,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter29 in self.headers:
-                iter29.write(oprot)
+            for iter36 in self.headers:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2276,11 +2396,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.answers = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = RememberedAnswer()
-                        _elem35.read(iprot)
-                        self.answers.append(_elem35)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = RememberedAnswer()
+                        _elem42.read(iprot)
+                        self.answers.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2325,8 +2445,8 @@
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter36 in self.answers:
-                iter36.write(oprot)
+            for iter43 in self.answers:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.more is not None:
@@ -2582,11 +2702,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = Notice()
-                        _elem42.read(iprot)
-                        self.notices.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Notice()
+                        _elem49.read(iprot)
+                        self.notices.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2650,8 +2770,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter43 in self.notices:
-                iter43.write(oprot)
+            for iter50 in self.notices:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.event_clock is not None:
@@ -2792,11 +2912,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = Notice()
-                        _elem49.read(iprot)
-                        self.notices.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Notice()
+                        _elem56.read(iprot)
+                        self.notices.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2838,10 +2958,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.evacuated_domains = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated_domains.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_domains.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2866,8 +2986,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter56 in self.notices:
-                iter56.write(oprot)
+            for iter63 in self.notices:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.event_clock is not None:
@@ -2901,8 +3021,8 @@
         if self.evacuated_domains is not None:
             oprot.writeFieldBegin('evacuated_domains', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.evacuated_domains))
-            for iter57 in self.evacuated_domains:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter64 in self.evacuated_domains:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3350,22 +3470,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.slices = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = SliceLoad()
-                        _elem63.read(iprot)
-                        self.slices.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = SliceLoad()
+                        _elem70.read(iprot)
+                        self.slices.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hot_keys = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = HotKey()
-                        _elem69.read(iprot)
-                        self.hot_keys.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = HotKey()
+                        _elem76.read(iprot)
+                        self.hot_keys.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3407,11 +3527,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.kind_times = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = KindTime()
-                        _elem75.read(iprot)
-                        self.kind_times.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = KindTime()
+                        _elem82.read(iprot)
+                        self.kind_times.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3436,15 +3556,15 @@
         if self.slices is not None:
             oprot.writeFieldBegin('slices', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.slices))
-            for iter76 in self.slices:
-                iter76.write(oprot)
+            for iter83 in self.slices:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hot_keys))
-            for iter77 in self.hot_keys:
-                iter77.write(oprot)
+            for iter84 in self.hot_keys:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy_fraction is not None:
@@ -3478,8 +3598,8 @@
         if self.kind_times is not None:
             oprot.writeFieldBegin('kind_times', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.kind_times))
-            for iter78 in self.kind_times:
-                iter78.write(oprot)
+            for iter85 in self.kind_times:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3668,6 +3788,13 @@
     (3, TType.I32, 'slots', None, None, ),  # 3
     (4, TType.I32, 'work_ms', None, None, ),  # 4
 )
+all_structs.append(PassedLoad)
+PassedLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(AdmissionLevel)
 AdmissionLevel.thrift_spec = (
     None,  # 0
@@ -3701,6 +3828,7 @@
     (15, TType.MAP, 'calls_per_run', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 15
     (16, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 16
     (17, TType.STRUCT, 'admission', [AdmissionLevel, None], None, ),  # 17
+    (18, TType.LIST, 'passed_loads', (TType.STRUCT, [PassedLoad, None], False), None, ),  # 18
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/comfreywharf_dev/comparisons/calls.py
+++ b/comfreywharf_dev/comparisons/calls.py
@@ -22,6 +22,7 @@
 )
 from comfreywharf.load.choice import ChoiceTerms
 from comfreywharf.load.fairqueue import RankedQueue
+from comfreywharf.load.passedloads import freshest_loads
 from comfreywharf.load.serverload import ReportedLoad, ServerLoadState
 from comfreywharf_dev.bench.load_model import Clock
 
@@ -41,7 +42,9 @@
 
     A request may be passed on ``passes`` times by servers at which it would wait for a
     larger fraction of its time left than ``wait_fraction``. If it ``reports_load``,
-    servers report their load, and replies tell it.
+    servers report their load, and replies tell it. Each reply also passes on
+    ``passed_loads`` loads of other servers, which the node beside the server knows from
+    replies to its own requests.
     """
 
     name: str
@@ -50,6 +53,7 @@
     wait_fraction: float = 0.25
     make_chooser: object = NearFirst
     reports_load: bool = False
+    passed_loads: int = 0
 
 
 @attrs.define
@@ -213,6 +217,16 @@
         """Send a request until a server takes it; call ``on_end(served, refused)``."""
         self._try(request, on_end, frozenset())
 
+    def freshest_loads(self, except_name, now_s):
+        """Return the members whose loads a reply of this node passes on."""
+        others = [m for m in self._members.values() if m.node_id != except_name]
+        return freshest_loads(others, now_s, self._model.way.passed_loads)
+
+    def _learn(self, passed, now_s):
+        for each in passed:
+            member = self._members[each.node_id]
+            member.record_passed_load(each.load, now_s - each.load_received_s, now_s)
+
     def _try(self, request, on_end, tried):
         usable = [m for m in self._members.values() if m.node_id not in tried]
         sent_s = self._model.clock.now_s
@@ -239,6 +253,8 @@
                 outcomes.answers_s.append(now_s - request.began_s)
             if load is not None:
                 member.record_load(load, now_s)
+                beside = self._model.nodes[int(server.name[1:])]
+                self._learn(beside.freshest_loads(server.name, now_s), now_s)
             if refused and bounded:
                 self._try(request, on_end, tried | {member.node_id})
             else:
--- a/idl/comfreywharf.thrift
+++ b/idl/comfreywharf.thrift
@@ -62,6 +62,13 @@
   4: required i32 work_ms              // typical service time at this moment; 0: unknown
 }
 
+// The load of another server of the same service, from a reply that the sender received.
+struct PassedLoad {
+  1: required string node_id,
+  2: required ServerLoad load,
+  3: required i32 age_ms               // time since the sender received it
+}
+
 // What the sender's server admits while it is overloaded. More urgent ranks are admitted
 // whole, less urgent ones not at all.
 struct AdmissionLevel {
@@ -93,7 +100,8 @@
   // With a refusal of the server: the calls to each service that one of its runs makes.
   15: optional map<string, double> calls_per_run,
   16: optional ServerLoad load,        // for services that aren't divided by key
-  17: optional AdmissionLevel admission // unset: the server isn't overloaded
+  17: optional AdmissionLevel admission, // unset: the server isn't overloaded
+  18: optional list<PassedLoad> passed_loads // of other servers of the service
 }
 
 struct BodyChunk {
