--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -146,7 +146,8 @@
     moving shares of the ranks in the started ones. ``minimums`` keep some of the slots
     for each rank while the server is overloaded. Late requests leave ``late_reserve``
     slots free for requests that may be in time, the latest of which arrived at
-    ``in_time_arrived_s``. The server has been drained for a suspect since ``suspect_drain_since_s``; no further suspect is started before
+    ``in_time_arrived_s``. The server has been drained for a suspect since
+    ``suspect_drain_since_s``; no further suspect is started before
     ``suspect_not_before_s``. Benchmarks and tests set ``fair`` or ``by_deadline`` to
     false to show the effect of the mechanism.
     """
