Count the calls of running work that aren't answered

An operator saw that calls are refused, but not whose work is thrown away by it: refusals are counted by the called service, and the failed run counts as an error of the calling one.

--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -49,6 +49,8 @@
         now_s = boottime_s()
         service = call.service.name
         self._count(service, reply, now_s - call.began_s)
+        if call.request.nested and reply.reason:
+            self._count_lost_call(call.request, reply.reason)
         outages = self._metrics.outages
         unserved = reply.reason in _UNSERVED
         if not call.request.key or not (unserved or outages):
@@ -61,6 +63,16 @@
         elif reply.outcome == Outcome.ANSWERED:
             outages.answered(service, start, now_s)
 
+    def _count_lost_call(self, request, reason):
+        """Count a call of this node's server; the run that made it may fail."""
+        backend = self._node.backend
+        self._metrics.nested_call_lost(
+            backend.announcement.service if backend is not None else "",
+            request.service_name,
+            request.priority,
+            reason,
+        )
+
     def _count(self, service, reply, duration_s):
         outcome = Outcome(reply.outcome).name.lower()
         self._metrics.request_ended(service, outcome, reply.reason, duration_s)
--- a/comfreywharf/daemon/tests/test_nested_calls.py
+++ b/comfreywharf/daemon/tests/test_nested_calls.py
@@ -4,10 +4,15 @@
 
 import pytest
 
+from comfreywharf.daemon.operating.metering import Meter
+from comfreywharf.daemon.requests.replies import refusal
 from comfreywharf.daemon.servers.nested_calls import NestedCallMarker
+from comfreywharf.daemon.tests.builders import forward_request
 from comfreywharf.load.callroutes import MIN_OBSERVATIONS, Run
 from comfreywharf.metrics import Metrics
+from comfreywharf.records import ServiceConfig
 from comfreywharf.routes import RouteTable
+from comfreywharf.routing import Reason
 
 RUN = Run(1, rank=0, deadline_s=11.0)
 
@@ -102,3 +107,29 @@
     beside.runs = [Run(1, rank=2, deadline_s=11.0)]
     one = beside.serve(call())
     assert (one.request.nested, one.request.priority) == (None, 1)
+
+
+def ended_calls(nested, reply):
+    """Return the lost calls that a node of the desk counts after one call has ended."""
+    announcement = SimpleNamespace(service="desk")
+    node = SimpleNamespace(
+        metrics=Metrics(), backend=SimpleNamespace(announcement=announcement)
+    )
+    request = forward_request()
+    request.key, request.priority, request.nested = b"", 1, nested
+    call = SimpleNamespace(
+        request=request, service=ServiceConfig(name="booking"), began_s=1.0
+    )
+    Meter(node).request_ended(call, reply)
+    return dict(node.metrics.lost_nested_calls)
+
+
+def test_lost_calls_are_counted_for_the_service_whose_runs_they_fail():
+    """Guards against an operator who can't tell whose work is thrown away."""
+    refused = refusal(Reason.OVERLOADED)
+    lost = {("desk", "booking", "1", "overloaded"): 1}
+    assert ended_calls(True, refused) == lost
+    assert ended_calls(None, refused) == {}
+    answered = refusal(Reason.OVERLOADED)
+    answered.reason = ""
+    assert ended_calls(True, answered) == {}
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -63,6 +63,13 @@
             "queue",
             "Calls of this node's backend server, by the rank that they were sent with",
         ),
+        _family(
+            "lost_nested_calls_total",
+            _COUNTER,
+            "caller_service service rank reason",
+            "queue",
+            "Calls of this node's backend server that weren't answered, by reason",
+        ),
         _family(
             "retry_tokens",
             _GAUGE,
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -83,6 +83,7 @@
         self.repeated_sends = defaultdict(int)
         self.refused_retries = defaultdict(int)
         self.nested_calls = defaultdict(int)
+        self.lost_nested_calls = defaultdict(int)
         self.level_refusals = defaultdict(int)
         self.minimum_starts = defaultdict(dict)
 
@@ -118,6 +119,13 @@
         """Count a call of the backend server beside this node, by its rank."""
         self.nested_calls[service, rank] += 1
 
+    def nested_call_lost(self, caller_service, service, rank, reason):
+        """Count a call of this node's server that wasn't answered.
+
+        The run that made it is of ``caller_service``, and probably fails.
+        """
+        self.lost_nested_calls[caller_service, service, str(rank), reason] += 1
+
     def retry_refused(self, service):
         """Count a request that isn't sent again, for want of a retry of its service."""
         self.refused_retries[service] += 1
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -68,6 +68,7 @@
             (service, str(rank)): count
             for (service, rank), count in metrics.nested_calls.items()
         },
+        "lost_nested_calls_total": metrics.lost_nested_calls,
         "retry_tokens": _with_one_label(gauges.retry_tokens),
         "request_duration_seconds": _with_one_label(metrics.durations),
         "stage_duration_seconds": metrics.stages,
--- a/comfreywharf/metrics/tests/test_render.py
+++ b/comfreywharf/metrics/tests/test_render.py
@@ -50,6 +50,7 @@
     metrics.request_sent_again(service, "not-yet-owner")
     metrics.retry_refused(service)
     metrics.nested_call(service, 0)
+    metrics.nested_call_lost("desk", service, 0, "overloaded")
     metrics.refused_by_level(service, 2)
     metrics.minimum_starts[service][2] = 3
     metrics.loop_woke(0.003)
