--- a/comfreywharf/fleet/pages.py
+++ b/comfreywharf/fleet/pages.py
@@ -51,7 +51,7 @@
 
     >>> page = read_page("n1", "comfreywharf_fold_offset 42\\n")
     >>> page.value("fold_offset")
-    42.0
+    42
     """
     samples = {}
     try:
--- a/comfreywharf/load/overload.py
+++ b/comfreywharf/load/overload.py
@@ -118,7 +118,7 @@
     >>> fractions_by_rank({0: 2.0, 1: 2.0, 2: 4.0}, capacity=6.0)
     {0: 1.0, 1: 1.0, 2: 0.5}
     >>> fractions_by_rank({1: 8.0, 2: 8.0}, capacity=8.0)
-    {1: 0.75, 2: 0.25}
+    {1: 0.8, 2: 0.2}
     """
     total = sum(demand.values())
     if total <= capacity:
--- a/comfreywharf/placement/work.py
+++ b/comfreywharf/placement/work.py
@@ -138,8 +138,8 @@
     node knows compares nothing. A node without a comparable time has no speed.
 
     >>> speeds = relative_speeds({"a": {1: 100.0}, "b": {1: 400.0, 2: 9.0}})
-    >>> speeds == {"a": 2.0, "b": 0.5}
-    True
+    >>> round(speeds["a"], 6), round(speeds["b"], 6)
+    (2.0, 0.5)
     """
     logs_by_kind = {}
     for times in times_by_node.values():
