--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -92,11 +92,10 @@
             cold_left_s = node.load.cold.cold_left_s(boottime_s())
             served.reply.cold_ms = math.ceil(cold_left_s * 1000) or None
             served.reply.limit_per_s = node.load.rate_limit.limit_per_s
-            now_s = boottime_s()
-            served.reply.load = node.load.server_load.message(now_s)
-            members = node.load.members
-            served.reply.passed_loads = members.passed_loads(
-                request.service_name, now_s
+            replied_s = boottime_s()
+            served.reply.load = node.load.server_load.message(replied_s)
+            served.reply.passed_loads = node.load.members.passed_loads(
+                request.service_name, replied_s
             )
         return served
 
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -25,6 +25,7 @@
 from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.coldstart import ColdLimit
 from comfreywharf.load.estimates import work_kind
+from comfreywharf.load.latereserve import LateReserve
 from comfreywharf.load.nested import NestedCalls
 from comfreywharf.load.ratelimit import ServerRateLimit
 from comfreywharf.records import ServiceConfig
@@ -96,6 +97,8 @@
         self.quarantine = NodeQuarantine(node)
         self._collection_limiter = BodyCollectionLimiter()
         self.members = Members(node)
+        reserved = LATE_RESERVE if node.ports.fleet_admission else 0
+        self._late_reserve = LateReserve(slots=reserved)
         self.nested = NestedCalls()
 
     # The backend server beside this node.
@@ -198,11 +201,11 @@
                 bounds=self._bounds,
                 queue=queue,
                 retry_after=self._node.ports.retry_after,
+                late_reserve=self._late_reserve,
             )
             self._admission = Admission(state)
             if self._node.ports.fleet_admission:
                 service = backend.announcement.service
-                state.late_reserve = LATE_RESERVE
                 state.minimums.started = self._node.metrics.minimum_starts[service]
                 self._level = ServerLevel(self._node, service, state)
 
@@ -431,6 +434,11 @@
         """Return the `AdmissionState` of the current backend server, or ``None``."""
         return self._admission.state if self._admission else None
 
+    @property
+    def reserved_slot_waits(self):
+        """Return how many late requests left a free slot to others."""
+        return self._late_reserve.held
+
     def cold_requests_per_s(self):
         """Return what the server bears for long while it is cold; ``None`` if warm."""
         if not self.cold.is_cold(boottime_s()):
--- a/comfreywharf/daemon/requests/members.py
+++ b/comfreywharf/daemon/requests/members.py
@@ -163,7 +163,7 @@
     def passed_loads(self, service, now_s):
         """Return the `PassedLoad` messages for a reply of this node; ``None`` for none.
 
-        Its own server's load is told by itself.
+        The load of this node's own server is a field of the reply.
         """
         group = self._services.get(service)
         if group is None or not self._node.ports.chooses_by_load:
@@ -173,6 +173,19 @@
         found = freshest_loads(others, now_s)
         return [passed_load_message(each, now_s) for each in found] or None
 
+    def known_loads(self, now_s):
+        """Return how many recent loads are known, by ``(service, source)``.
+
+        The source is ``own``, a reply of the server's own node, or ``passed``.
+        """
+        known = {}
+        for service, group in self._services.items():
+            for member in group.members.values():
+                if member.has_load(now_s):
+                    source = "passed" if member.load_passed_on else "own"
+                    known[service, source] = known.get((service, source), 0) + 1
+        return known
+
     @staticmethod
     def _update_absences(group, sent, reply):
         if reply is None:
--- a/comfreywharf/daemon/tests/test_members.py
+++ b/comfreywharf/daemon/tests/test_members.py
@@ -230,6 +230,15 @@
     assert members.passed_loads("files", now_s + 2.0) is None
 
 
+def test_known_loads_are_counted_by_who_told_them(monkeypatch):
+    """Guards against an operator who can't see whether choices go by load."""
+    members, now_s = three_members(), members_module.boottime_s() + 1.0
+    monkeypatch.setattr(members_module, "boottime_s", lambda: now_s)
+    members.record_outcome(members.record_sent("files", "b"), passing_reply("c"))
+    assert members.known_loads(now_s) == {("files", "own"): 1, ("files", "passed"): 1}
+    assert members.known_loads(now_s + 2.0) == {}
+
+
 def test_nothing_is_passed_on_where_servers_are_not_chosen_by_load():
     """Guards against longer replies in a deployment without the setting."""
     members = three_members()
--- a/comfreywharf/load/admission.py
+++ b/comfreywharf/load/admission.py
@@ -12,6 +12,7 @@
 from comfreywharf.load.bounds import ArrivalBounds
 from comfreywharf.load.estimates import ServiceTimes
 from comfreywharf.load.fairqueue import FairQueue, RequestQueue, Ticket
+from comfreywharf.load.latereserve import LateReserve
 from comfreywharf.load.limits import ConcurrencyLimit
 from comfreywharf.load.minimums import MinimumShares
 from comfreywharf.routing import Reason
@@ -51,12 +52,6 @@
 """Bounds of the delay before jitter. Callers that retry long after an overload has
 ended keep new callers from being served at their first attempt."""
 
-LATE_RESERVE_MIN_SLOTS = 4
-"""Slots of a server from which on late requests leave some of them free."""
-
-LATE_RESERVE_KEPT_S = 0.5
-"""How long after a request that may be in time slots are kept free for the next one."""
-
 RANK_WEIGHT = 0.02
 """Weight of the newest request in the moving shares of the ranks."""
 
@@ -144,9 +139,8 @@
     are the service times of all requests, ``kind_times`` those of each kind.
     ``shed_fraction`` is the moving fraction of refused requests, ``rank_shares`` the
     moving shares of the ranks in the started ones. ``minimums`` keep some of the slots
-    for each rank while the server is overloaded. Late requests leave ``late_reserve``
-    slots free for requests that may be in time, the latest of which arrived at
-    ``in_time_arrived_s``. The server has been drained for a suspect since
+    for each rank while the server is overloaded, and ``late_reserve`` those that late
+    requests leave to others. The server has been drained for a suspect since
     ``suspect_drain_since_s``; no further suspect is started before
     ``suspect_not_before_s``. Benchmarks and tests set ``fair`` or ``by_deadline`` to
     false to show the effect of the mechanism.
@@ -171,8 +165,7 @@
     rank_shares: dict[int, float] = attrs.Factory(dict)
     retry_after: RetryAfter = attrs.Factory(lambda: RetryAfter())
     minimums: MinimumShares = attrs.Factory(MinimumShares)
-    late_reserve: int = 0
-    in_time_arrived_s: float = float("-inf")
+    late_reserve: LateReserve = attrs.Factory(LateReserve)
 
     def more_urgent_share(self, rank):
         """Return the fraction of started requests that were more urgent than a rank."""
@@ -243,7 +236,7 @@
     if ticket.alone:
         return _arrive_suspect(state, ticket, now_s)
     if not ticket.late:
-        state.in_time_arrived_s = now_s
+        state.late_reserve.record_in_time(now_s)
     if (
         _slot_available(state, now_s)
         and _is_next(state, ticket, now_s)
@@ -266,25 +259,20 @@
 
 def _is_next(state, ticket, now_s):
     """Return whether a request that arrives may take a free slot at once."""
-    if not state.late_reserve:
+    if not state.late_reserve.slots:
         return not state.queue
-    if ticket.late:
-        return not state.queue and not _is_slot_reserved(state, now_s)
-    return not state.queue or state.queue.has_only_late()
-
+    if not ticket.late:
+        return not state.queue or state.queue.has_only_late()
+    if state.queue:
+        return False
+    kept = _is_slot_kept(state, now_s)
+    state.late_reserve.held += kept
+    return not kept
 
-def _is_slot_reserved(state, now_s):
-    """Return whether the slots that are free are kept for requests in time.
 
-    Late requests would take each slot that is free for a moment, and requests that
-    arrive just after that would wait until they are late as well.
-    """
-    allowed = state.limit.max_in_flight()
-    if not state.late_reserve or allowed < LATE_RESERVE_MIN_SLOTS:
-        return False
-    if now_s - state.in_time_arrived_s > LATE_RESERVE_KEPT_S:
-        return False
-    return len(state.in_flight) >= allowed - state.late_reserve
+def _is_slot_kept(state, now_s):
+    in_flight, allowed = len(state.in_flight), state.limit.max_in_flight()
+    return state.late_reserve.is_kept(in_flight, allowed, now_s)
 
 
 def _waits_too_long(state, ticket, now_s, bodies_ahead=0):
@@ -377,7 +365,7 @@
     actions = _begin_suspect(state, now_s)
     while state.queue and _slot_available(state, now_s):
         owed = _owed_ticket(state, now_s)
-        if not owed and state.queue.has_only_late() and _is_slot_reserved(state, now_s):
+        if not owed and state.queue.has_only_late() and _is_slot_kept(state, now_s):
             break
         ticket = owed or state.queue.pop(skip=_flows_at_limit(state))
         if ticket is None:
--- a/comfreywharf/load/returns.py
+++ b/comfreywharf/load/returns.py
@@ -44,7 +44,8 @@
 from the remaining time in each request, which is a little older when it arrives."""
 
 MAX_REFUSED_CALLERS = 1024
-"""Refused callers of a rank on one route that are remembered; the newest ones."""
+"""Refused callers of a rank on one route that are remembered. Beyond it, those whose
+deadlines come first are forgotten."""
 
 
 class Precedence(IntEnum):
--- a/comfreywharf/load/tests/test_fleet_admission.py
+++ b/comfreywharf/load/tests/test_fleet_admission.py
@@ -27,6 +27,7 @@
 from comfreywharf.load.fairqueue import RankedQueue
 from comfreywharf.load.fleetlevels import Attempt, ServiceAdmission
 from comfreywharf.load.overload import MIN_SHARE, ServerOverload
+from comfreywharf.load.returns import MAX_REFUSED_CALLERS, RefusedCallers
 
 SLOTS = 7
 SPEEDS = (0.8, 0.9, 1.1, 1.2)
@@ -425,6 +426,16 @@
     assert service.refused_wait_s(waited, now_s=10.46) is None
 
 
+def test_refused_callers_beyond_a_bound_are_forgotten():
+    """Guards against memory that grows with the callers of an overload."""
+    callers = RefusedCallers()
+    for number in range(2 * MAX_REFUSED_CALLERS):
+        callers.record(deadline_s=20.0 + number, until_s=15.0)
+    assert callers.left_s(20.0, now_s=10.0) == 0.0
+    last_s = 20.0 + 2 * MAX_REFUSED_CALLERS - 1
+    assert callers.left_s(last_s, now_s=10.0) == 5.0
+
+
 def test_another_caller_isnt_taken_for_one_that_was_refused():
     """Guards against callers with short deadlines that pay for another's refusal."""
     service = ServiceAdmission(random.Random(1))
--- a/comfreywharf/load/tests/test_late_reserve.py
+++ b/comfreywharf/load/tests/test_late_reserve.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 
 import pytest
@@ -17,6 +18,7 @@
     decide,
 )
 from comfreywharf.load.fairqueue import RankedQueue
+from comfreywharf.load.latereserve import LateReserve
 
 SLOTS = 7
 WORK_S = 0.25
@@ -30,7 +32,8 @@
     limit = ConcurrencyLimit(slots, ramp_up=False, cut_on_refusal=False)
     queue = RankedQueue()
     rng = random.Random(1)
-    return AdmissionState(limit, 256, rng, queue=queue, late_reserve=late_reserve)
+    reserve = LateReserve(slots=late_reserve)
+    return AdmissionState(limit, 256, rng, queue=queue, late_reserve=reserve)
 
 
 def make_ticket(now_s, late=False):
@@ -53,7 +56,7 @@
     """
     rng = random.Random(seed)
     state = make_state(late_reserve)
-    mean_s = WORK_S * 2.718281828 ** (WORK_SPREAD**2 / 2)
+    mean_s = WORK_S * math.exp(WORK_SPREAD**2 / 2)
     events, order = [], itertools.count()
     answered = {True: 0, False: 0}
 
@@ -113,6 +116,7 @@
         decide(state, Arrived(make_ticket(0.0)), 0.0)
     late = make_ticket(0.1, late=True)
     assert decide(state, Arrived(late), 0.1) == []
+    assert state.late_reserve.held == 1
     assert decide(state, TimePassed(), 0.3) == []
     assert decide(state, TimePassed(), 0.6) == [Begin(late)]
 
--- a/comfreywharf_dev/comparisons/calls.py
+++ b/comfreywharf_dev/comparisons/calls.py
@@ -253,7 +253,7 @@
                 outcomes.answers_s.append(now_s - request.began_s)
             if load is not None:
                 member.record_load(load, now_s)
-                beside = self._model.nodes[int(server.name[1:])]
+                beside = self._model.node_beside(server)
                 self._learn(beside.freshest_loads(server.name, now_s), now_s)
             if refused and bounded:
                 self._try(request, on_end, tried | {member.node_id})
@@ -285,6 +285,10 @@
             for number in range(load.senders)
         ]
 
+    def node_beside(self, server):
+        """Return the node beside a server; all servers have one that sends calls."""
+        return self.nodes[list(self.servers).index(server.name)]
+
     def run(self, seconds):
         """Run for some seconds, and return the `CallOutcomes`."""
         load = self.load
