--- a/review/harness/upstream.py
+++ b/review/harness/upstream.py
@@ -42,6 +42,12 @@
 
 def read_message(read_line, read):
     """Return ``(first line, headers, body)``; raises `EOFError` where it breaks off."""
+    line, headers = read_head(read_line)
+    return line, headers, read_body(headers, read_line, read)
+
+
+def read_head(read_line):
+    """Return ``(first line, headers)``; raises `EOFError` where it breaks off."""
     line = read_line()
     if not line:
         raise EOFError
@@ -54,10 +60,11 @@
             break
         name, _, value = field.decode("latin-1").partition(":")
         headers[name.strip().lower()] = value.strip()
-    return line.decode("latin-1").strip(), headers, _read_body(headers, read_line, read)
+    return line.decode("latin-1").strip(), headers
 
 
-def _read_body(headers, read_line, read):
+def read_body(headers, read_line, read):
+    """Return the body that follows a head; raises `EOFError` where it breaks off."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         parts = []
         while True:
@@ -87,7 +94,8 @@
     once an upstream begins to run the request. ``refuses(request)`` tells whether the
     upstream refuses a request with ``X-Not-Executed``. ``repeats(request, answer)``
     tells whether an answer comes a second time, late, in front of the next answer of
-    its connection.
+    its connection. ``early(request)`` tells whether it works on a request, and answers
+    it, before it has read the body.
     """
 
     def __init__(self, instance, service, record, work, slots=12, sharded=False):
@@ -98,6 +106,7 @@
         self.events = []
         self.refuses = lambda request: False
         self.repeats = lambda request, answer: False
+        self.early = lambda request: False
         self.state = "ready"
         self._record = record
         self._work = work
@@ -165,16 +174,21 @@
         number, repeated = 0, b""
         with contextlib.suppress(OSError, EOFError, ValueError):
             while True:
-                line, headers, body = read_message(file.readline, file.read)
+                line, headers = read_head(file.readline)
                 method, target, _ = line.split(" ")
                 number += 1
-                request = Request(method, target, headers, body, number)
+                request = Request(method, target, headers, b"", number)
+                is_early = self.early(request)
+                if not is_early:
+                    request.body = read_body(headers, file.readline, file.read)
                 if repeated:
                     self._record.line(f"{self.instance} sends an extra answer")
                     sock.sendall(repeated)
                     repeated = b""
                 answer, is_plain = self._answer(request)
                 sock.sendall(answer)
+                if is_early:
+                    request.body = read_body(headers, file.readline, file.read)
                 if is_plain and self.repeats(request, answer):
                     repeated = answer
         sock.close()
