--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -93,11 +93,11 @@
 
     def __init__(self, path):
         self._file = Path(path).open("w", encoding="utf-8")  # noqa: SIM115
-        self._began_s = time.monotonic()
+        self.began_s = time.monotonic()
 
     def now(self):
         """Return the seconds since the start."""
-        return time.monotonic() - self._began_s
+        return time.monotonic() - self.began_s
 
     def line(self, text):
         """Write a line."""
@@ -139,9 +139,9 @@
     own. All of them end when the context exits.
     """
 
-    def __init__(self, record, routes, services):
+    def __init__(self, record, routes, services, store=None):
         self.record = record
-        self.store = PlatformStore()
+        self.store = store or PlatformStore()
         self.store.era = None
         self.upstreams = {}
         self.ports = {}
--- a/review/harness/upstream.py
+++ b/review/harness/upstream.py
@@ -10,7 +10,7 @@
 from gevent.lock import BoundedSemaphore
 from gevent.server import StreamServer
 
-__all__ = ["Request", "Upstream", "read_message"]
+__all__ = ["Request", "Upstream", "common_holds", "read_message"]
 
 HEARTBEAT_S = 0.87
 
@@ -102,8 +102,9 @@
         self.instance = instance
         self.service = service
         self.runs = []
+        self.begins = []
         self.holds = []
-        self.events = []
+        self._history = []
         self.refuses = lambda request: False
         self.repeats = lambda request, answer: False
         self.early = lambda request: False
@@ -214,6 +215,7 @@
             return _bytes(503, not_run, b""), True
         with self._free:
             self.runs.append(request)
+            self.begins.append((time.monotonic(), key))
             self._record.line(
                 f"{self.instance} runs {request.id} {request.method} {request.target}"
                 f" body {len(request.body)}"
@@ -234,6 +236,7 @@
         hold_s = float(text[:-2]) / 1000 if text.endswith("ms") else float(text[:-1])
         self._drop(first, last)
         self.holds.append(_Held(first, last, fence, time.monotonic() + hold_s))
+        self._note_holds()
         return _bytes(200, [], b"{}")
 
     def _release(self, fields):
@@ -253,6 +256,38 @@
             if held.last > last:
                 kept.append(attrs.evolve(held, first=max(held.first, last + 1)))
         self.holds = kept
+        self._note_holds()
+
+    def _note_holds(self):
+        self._history.append((time.monotonic(), list(self.holds)))
+
+    def held_times(self, key):
+        """Return ``[begin, end, fence]`` of each time in which it has held a key."""
+        found = []
+        ends_s = [since_s for since_s, _ in self._history[1:]] + [time.monotonic()]
+        for (since_s, holds), end_s in zip(self._history, ends_s, strict=True):
+            for held in holds:
+                until_s = min(end_s, held.until_s)
+                if not held.first <= key <= held.last or until_s <= since_s:
+                    continue
+                if found and since_s <= found[-1][1] and found[-1][2] == held.fence:
+                    found[-1][1] = max(found[-1][1], until_s)
+                else:
+                    found.append([since_s, until_s, held.fence])
+        return found
+
+
+def common_holds(upstreams, key):
+    """Yield ``(one, other, begin, end, fences)`` where two upstreams held a key."""
+    times = [
+        (upstream, held) for upstream in upstreams for held in upstream.held_times(key)
+    ]
+    times.sort(key=lambda entry: entry[1][0])
+    for number, (one, held) in enumerate(times):
+        for other, later in times[number + 1 :]:
+            begin_s, end_s = later[0], min(held[1], later[1])
+            if other is not one and begin_s < end_s:
+                yield one, other, begin_s, end_s, (held[2], later[2])
 
 
 def _bytes(status, headers, body):
