Review case 3: keys are taken over before the last grant of their server ends

Cause: after a surrender, the renewal of the next lease replaces the end of the server's last grants at the witnesses by a shorter one. Change: a script with a silent store, reset connections and one killed node; earlier cases 3 and 4 are now 4 and 5.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""Bookings while upstreams refuse a part of them and repeat a few answers late."""
+"""A lease that is taken anew for a server whose grants last longer than it."""
 
 import os
 import random
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -10,17 +11,19 @@
 
 from review.harness.consumer import send
 from review.harness.deployment import Deployment, Record, route, service
-from review.harness.upstream import Upstream
+from review.harness.store import TroubledStore
+from review.harness.upstream import Upstream, common_holds
 
 HOST = "verkko.example"
+NAMES = ("p1", "p2", "p3", "p4", "p5")
 PER_S = 100
 CALM_S = 5.0
-TROUBLED_S = 5.0
-ROUNDS = 5
-REFUSED_SHARE = 0.55
-REPEATED_SHARE = 0.03
-NAMES = ("p1", "p2", "p3")
-REPEATING = ("p1", "p2")
+SERVED_S = 1.0
+KILLED_AFTER_S = 0.6
+SILENT_S = 4.5
+KILLED_S = 3.5
+KEYS = range(16, 65536, 512)
+MAX_COMMON_S = 0.5
 SEED = 7
 
 
@@ -28,9 +31,11 @@
     """Return the exit status."""
     record = Record(Path(__file__).parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    routes = {"book": route(HOST, "/varaus/", "non_idempotent", "pieraksts", 1200, 500)}
+    routes = {
+        "book": route(HOST, "/varaus/", "non_idempotent", "pieraksts", 4000, 1723)
+    }
     services = {"pieraksts": service(sharded=True)}
-    with Deployment(record, routes, services) as deployment:
+    with Deployment(record, routes, services, TroubledStore()) as deployment:
         try:
             return _Case(deployment, record, trouble).run()
         except TimeoutError as error:
@@ -41,89 +46,96 @@
 class _Case:
     def __init__(self, deployment, record, trouble):
         self.deployment = deployment
+        self.store = deployment.store
         self.record = record
         self.trouble = trouble
-        self.troubled = False
         self.random = random.Random(SEED)
-        self.answers = {}
+        self.sent = 0
+        self.began_s = time.monotonic()
 
     def run(self):
         deployment = self.deployment
         for name in NAMES:
-            deployment.add(name, self._upstream(name))
-        deployment.add("p4", self._upstream("p4"))
-        for name in deployment.ports:
+            deployment.add(
+                name, Upstream(f"i-{name}", "pieraksts", self.record, _work, 12, True)
+            )
+        for name in NAMES:
             deployment.wait_for(lambda n=name: deployment.ready(n), 20, f"{name} ready")
         deployment.wait_for(self._all_held, 30, "each key is held by one upstream")
-        for number in range(2 * ROUNDS):
-            self.troubled = self.trouble and number % 2 == 1
-            self.record.line(f"trouble {'on' if self.troubled else 'off'}")
-            self._send_for(TROUBLED_S if number % 2 else CALM_S)
-        self.troubled = False
-        gevent.sleep(2.5)
+        gevent.sleep(CALM_S)
+        sending = gevent.spawn(self._send)
+        gevent.sleep(SERVED_S)
+        if self.trouble:
+            self._disturb()
+        gevent.sleep(SILENT_S - KILLED_AFTER_S)
+        self.store.silent = False
+        self.record.line("the store answers")
+        gevent.sleep(2.0)
+        sending.kill()
+        gevent.sleep(2.0)
         return self._judge()
 
-    def _upstream(self, name):
-        def refuses(request):
-            return self.troubled and self.random.random() < REFUSED_SHARE
-
-        def repeats(request, answer):
-            troubled = self.troubled and name in REPEATING
-            return troubled and self.random.random() < REPEATED_SHARE
-
-        upstream = Upstream(f"i-{name}", "pieraksts", self.record, _work, sharded=True)
-        upstream.refuses, upstream.repeats = refuses, repeats
-        return upstream
+    def _disturb(self):
+        left_s = Counter()
+        for name, upstream in self.deployment.upstreams.items():
+            left_s[name] = max(upstream.left_s(key) for key in KEYS)
+        name, longest_s = left_s.most_common(1)[0]
+        self.record.line(f"{name}'s upstream holds keys for {longest_s:.3f} s more")
+        self.store.silent = True
+        self.record.line("the store is silent")
+        self.deployment.upstreams[name].reset_connections()
+        self.record.line(f"the connections to {name}'s upstream are reset")
+        gevent.sleep(KILLED_AFTER_S)
+        gevent.spawn(self._kill_for_a_while, name)
+
+    def _kill_for_a_while(self, name):
+        self.deployment.kill(name)
+        gevent.sleep(KILLED_S)
+        self.deployment.start(name)
 
     def _all_held(self):
         upstreams = self.deployment.upstreams.values()
-        return all(
-            sum(upstream.holds_key(key) for upstream in upstreams) == 1
-            for key in range(0, 65536, 512)
-        )
-
-    def _send_for(self, length_s):
-        for _ in range(int(length_s * PER_S)):
-            gevent.spawn(self._book, f"booking-{len(self.answers)}")
-            self.answers[f"booking-{len(self.answers)}"] = None
+        return all(sum(u.holds_key(key) for u in upstreams) == 1 for key in KEYS)
+
+    def _send(self):
+        while True:
+            self.sent += 1
+            gevent.spawn(self._book, f"booking-{self.sent}")
             gevent.sleep(1 / PER_S)
 
     def _book(self, request_id):
-        node = self.random.choice(list(self.deployment.ports))
+        node, key = self.random.choice(NAMES), self.random.choice(KEYS)
         headers = {
             "X-Attempt-Id": request_id,
             "X-Deadline-Ms": 1200,
-            "X-Shard-Key": self.random.randrange(65536),
+            "X-Shard-Key": key,
         }
         address, body = self.deployment.outbound(node), request_id.encode()
         answer = send(address, "POST", HOST, "/varaus/1", headers, [body], len(body))
-        self.answers[request_id] = answer
-        self.record.line(f"consumer at {node} got for {request_id}: {answer.status}")
+        self.record.line(f"{request_id}, key {key}, at {node}: status {answer.status}")
+
+    def _common(self):
+        broken, upstreams = [], list(self.deployment.upstreams.values())
+        for key in KEYS:
+            for one, other, begin_s, end_s, fences in common_holds(upstreams, key):
+                if end_s - begin_s > MAX_COMMON_S:
+                    broken.append(
+                        f"OWNER: {one.instance} and {other.instance} both held key "
+                        f"{key} for {end_s - begin_s:.3f} s from "
+                        f"{begin_s - self.record.began_s:.3f} on, generations {fences}"
+                    )
+        return broken
 
     def _judge(self):
-        upstreams = self.deployment.upstreams.values()
-        runs = Counter(run.id for upstream in upstreams for run in upstream.runs)
-        broken = [
-            f"TWICE: {request_id} ran {count} times, its consumer got "
-            f"{self.answers[request_id].status}"
-            for request_id, count in runs.items()
-            if count > 1
-        ]
-        broken += [
-            f"REFUSED: {request_id} was answered {answer.status} and has run"
-            for request_id, answer in self.answers.items()
-            if answer.status in (408, 421, 429, 503) and runs[request_id]
-        ]
-        for line in broken:
+        broken = self._common()
+        for line in broken[:20]:
             self.record.say(line)
-        statuses = Counter(answer.status for answer in self.answers.values())
-        self.record.say(f"bookings by status: {dict(statuses)}")
-        self.record.say("broken" if broken else "held")
+        self.record.say(f"broken {len(broken)} times" if broken else "held")
         return 1 if broken else 0
 
 
 def _work(request):
-    gevent.sleep(0.16)
+    gevent.sleep(0.1)
     stamp = ("X-Response-Stamp", f"stamp-{request.id}")
     return 200, [stamp], f"done {request.id}".encode()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,36 +1,35 @@
-"""Uploads that stall on the consumers' link past the timeout of their route."""
+"""Bookings while upstreams refuse a part of them and repeat a few answers late."""
 
 import os
+import random
 import sys
+from collections import Counter
 from pathlib import Path
 
 import gevent
 
 from review.harness.consumer import send
 from review.harness.deployment import Deployment, Record, route, service
-from review.harness.proxy import StallingProxy
 from review.harness.upstream import Upstream
 
 HOST = "verkko.example"
-PATH = "/kuva/1"
-TIMEOUT_MS = 2000
-BUDGET_MS = 9560
-SIZE = 330_000
-FIRST_PART = 290_000
-PAUSE_S = 0.2
-STALL_S = 3.0
-COUNT = 10
+PER_S = 100
+CALM_S = 5.0
+TROUBLED_S = 5.0
+ROUNDS = 5
+REFUSED_SHARE = 0.55
+REPEATED_SHARE = 0.03
+NAMES = ("p1", "p2", "p3")
+REPEATING = ("p1", "p2")
+SEED = 7
 
 
 def main():
     """Return the exit status."""
     record = Record(Path(__file__).parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    routes = {
-        "look": route(HOST, "/aika/", "idempotent", "pieraksts", 1000, 400),
-        "upload": route(HOST, "/kuva/", "upload", "darbnica", TIMEOUT_MS, 1200),
-    }
-    services = {"pieraksts": service(sharded=True), "darbnica": service()}
+    routes = {"book": route(HOST, "/varaus/", "non_idempotent", "pieraksts", 1200, 500)}
+    services = {"pieraksts": service(sharded=True)}
     with Deployment(record, routes, services) as deployment:
         try:
             return _Case(deployment, record, trouble).run()
@@ -44,82 +43,87 @@
         self.deployment = deployment
         self.record = record
         self.trouble = trouble
-        self.small = 0
+        self.troubled = False
+        self.random = random.Random(SEED)
         self.answers = {}
-        self.files = None
 
     def run(self):
-        self._start()
-        proxies = {n: StallingProxy(self.deployment.outbound(n)) for n in ("p1",)}
-        sending = []
-        for name, proxy in proxies.items():
-            proxy.start()
-            for number in range(COUNT):
-                request_id = f"upload-{name}-{number}"
-                parts = [b"u" * FIRST_PART, PAUSE_S, b"u" * (SIZE - FIRST_PART)]
-                arguments = (request_id, proxy.address, parts, SIZE)
-                sending.append(gevent.spawn(self._upload, *arguments))
-        gevent.sleep(PAUSE_S / 2)
-        if self.trouble:
-            self.record.line("the consumers' links stall")
-            gevent.joinall([gevent.spawn(p.stall, STALL_S) for p in proxies.values()])
-            self.record.line("the consumers' links are well again")
-        gevent.joinall(sending)
-        for proxy in proxies.values():
-            proxy.stop()
-        return self._judge()
-
-    def _start(self):
-        deployment, record = self.deployment, self.record
-        for number in (1, 2, 3):
-            deployment.add(
-                f"p{number}",
-                Upstream(f"i-p{number}", "pieraksts", record, _work, sharded=True),
-            )
-        self.files = Upstream("i-d1", "darbnica", record, _work)
-        self.files.early = _is_early
-        deployment.add("d1", self.files)
+        deployment = self.deployment
+        for name in NAMES:
+            deployment.add(name, self._upstream(name))
+        deployment.add("p4", self._upstream("p4"))
         for name in deployment.ports:
             deployment.wait_for(lambda n=name: deployment.ready(n), 20, f"{name} ready")
-        deployment.wait_for(self._small_is_served, 20, "uploads are served", 0.25)
+        deployment.wait_for(self._all_held, 30, "each key is held by one upstream")
+        for number in range(2 * ROUNDS):
+            self.troubled = self.trouble and number % 2 == 1
+            self.record.line(f"trouble {'on' if self.troubled else 'off'}")
+            self._send_for(TROUBLED_S if number % 2 else CALM_S)
+        self.troubled = False
+        gevent.sleep(2.5)
+        return self._judge()
 
-    def _small_is_served(self):
-        self.small += 1
-        address = self.deployment.outbound("p1")
-        return self._upload(f"small-{self.small}", address, [b"s"], 1).status == 200
+    def _upstream(self, name):
+        def refuses(request):
+            return self.troubled and self.random.random() < REFUSED_SHARE
 
-    def _upload(self, request_id, address, parts, size):
-        headers = {"X-Attempt-Id": request_id, "X-Deadline-Ms": BUDGET_MS}
-        self.record.line(f"consumer sends {request_id}, {size} bytes")
-        answer = send(address, "POST", HOST, PATH, headers, parts, size)
-        self.answers[request_id] = answer
-        self.record.line(
-            f"consumer got for {request_id}: status {answer.status},"
-            f" stamp {answer.stamp!r}, body {answer.body[:60]!r}"
+        def repeats(request, answer):
+            troubled = self.troubled and name in REPEATING
+            return troubled and self.random.random() < REPEATED_SHARE
+
+        upstream = Upstream(f"i-{name}", "pieraksts", self.record, _work, sharded=True)
+        upstream.refuses, upstream.repeats = refuses, repeats
+        return upstream
+
+    def _all_held(self):
+        upstreams = self.deployment.upstreams.values()
+        return all(
+            sum(upstream.holds_key(key) for upstream in upstreams) == 1
+            for key in range(0, 65536, 512)
         )
-        return answer
+
+    def _send_for(self, length_s):
+        for _ in range(int(length_s * PER_S)):
+            gevent.spawn(self._book, f"booking-{len(self.answers)}")
+            self.answers[f"booking-{len(self.answers)}"] = None
+            gevent.sleep(1 / PER_S)
+
+    def _book(self, request_id):
+        node = self.random.choice(list(self.deployment.ports))
+        headers = {
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": 1200,
+            "X-Shard-Key": self.random.randrange(65536),
+        }
+        address, body = self.deployment.outbound(node), request_id.encode()
+        answer = send(address, "POST", HOST, "/varaus/1", headers, [body], len(body))
+        self.answers[request_id] = answer
+        self.record.line(f"consumer at {node} got for {request_id}: {answer.status}")
 
     def _judge(self):
-        ran = {run.id for run in self.files.runs}
+        upstreams = self.deployment.upstreams.values()
+        runs = Counter(run.id for upstream in upstreams for run in upstream.runs)
         broken = [
+            f"TWICE: {request_id} ran {count} times, its consumer got "
+            f"{self.answers[request_id].status}"
+            for request_id, count in runs.items()
+            if count > 1
+        ]
+        broken += [
             f"REFUSED: {request_id} was answered {answer.status} and has run"
             for request_id, answer in self.answers.items()
-            if answer.status in (408, 421, 429, 503) and request_id in ran
+            if answer.status in (408, 421, 429, 503) and runs[request_id]
         ]
         for line in broken:
             self.record.say(line)
+        statuses = Counter(answer.status for answer in self.answers.values())
+        self.record.say(f"bookings by status: {dict(statuses)}")
         self.record.say("broken" if broken else "held")
         return 1 if broken else 0
 
 
-def _is_early(request):
-    """Return whether the upstream answers before it has read the body: 0.4 of them."""
-    kind, _, number = request.id.rpartition("-")
-    return kind.startswith("upload") and int(number) % 5 < 2
-
-
 def _work(request):
-    gevent.sleep(0.14)
+    gevent.sleep(0.16)
     stamp = ("X-Response-Stamp", f"stamp-{request.id}")
     return 200, [stamp], f"done {request.id}".encode()
 
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -21,6 +21,8 @@
         super().__init__()
         self.era = None
         self.down = False
+        self.silent = False
+        """Calls get no answer while it is set."""
         self.snapshots = 0
         """How often a node has written to a keyed topic."""
         self._late_s = None
@@ -38,7 +40,9 @@
         def start_unless_down(status, headers):
             start_response("503 Down" if self.down else status, headers)
 
-        if self.down:
+        if self.silent:
+            gevent.sleep(SILENCE_S)
+        if self.down or self.silent:
             return platform_store._respond(start_response, 503, b"")
         return super()._answer_call(environ, start_unless_down)
 
--- a/review/harness/upstream.py
+++ b/review/harness/upstream.py
@@ -1,6 +1,7 @@
 """A sound upstream on raw sockets, with a few ways to be a faulty one."""
 
 import contextlib
+import struct
 import time
 
 import attrs
@@ -117,6 +118,7 @@
         self._fences = {}
         self._highest = [-1] * 65536
         self._busy = {}
+        self._socks = set()
         self._sequence = 0
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._heartbeats = None
@@ -137,6 +139,19 @@
             self._heartbeats.kill()
         self._server.stop(timeout=0)
 
+    def reset_connections(self):
+        """Reset all connections to it; it goes on."""
+        for sock in list(self._socks):
+            with contextlib.suppress(OSError):
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def left_s(self, key):
+        """Return for how long it still holds a key."""
+        ends_s = [h.until_s for h in self.holds if h.first <= key <= h.last]
+        return max(ends_s, default=0.0) - time.monotonic()
+
     def holds_key(self, key):
         """Return whether it holds a key now."""
         now_s = time.monotonic()
@@ -171,6 +186,7 @@
 
     def _serve(self, sock, address):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socks.add(sock)
         file = sock.makefile("rb")
         number, repeated = 0, b""
         with contextlib.suppress(OSError, EOFError, ValueError):
@@ -192,6 +208,7 @@
                     request.body = read_body(headers, file.readline, file.read)
                 if is_plain and self.repeats(request, answer):
                     repeated = answer
+        self._socks.discard(sock)
         sock.close()
 
     def _answer(self, request):
