--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -164,10 +164,17 @@
 
     def __enter__(self):
         self._folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        gevent.signal_handler(signal.SIGTERM, self._end_early)
         self.store.start()
         self.store.put("keyed.op", "config", self._configuration)
         return self
 
+    def _end_early(self):
+        """End all processes when the script takes too long."""
+        for process in self._processes.values():
+            process.kill()
+        os._exit(2)
+
     def __exit__(self, *error):
         for name in list(self._processes):
             self.kill(name)
