Renew leases at least until the end of the server's last grant

Cause: when a lease is given up to be acquired anew, the witnesses are told until when the server's last grant lasts. The next request, 1 ms later, names the length for the present work only, and a witness counts by the newest request. A pause named no end at all.

Change: the node takes the end of the last grant from its HoldBook at each request, and never requests a lease that ends before it. A pause names it as well. The end thereby survives a new acquisition, a pause, a shorter lease, a change of witnesses (candidates get the same requests) and, as a bound, a restart of the process. E304 has held_ms, so that the lines tell how long an end was named.

The simulated nodes name the ends that the world knows of their servers, earlier grants included, where they named the present lease's end before.

Measured: with requests that name no end, the scenario, the single holder's test and the state machine of test_last_grants fail; with a pause that names none, its test fails.

--- a/comfreywharf/daemon/ownership/leases.py
+++ b/comfreywharf/daemon/ownership/leases.py
@@ -221,8 +221,11 @@
             self._follow_log_reachability()
             now_s = boottime_s()
             state = self._node.follower.state
+            held_until_s = self._node.grants.held_until_s(now_s)
             self.carry_out(
-                self.agent.tick(state, now_s, self._may_hold_lease(), forced)
+                self.agent.tick(
+                    state, now_s, self._may_hold_lease(), forced, held_until_s
+                )
             )
             if now_s > expired_s + EXPIRE_INTERVAL_S:
                 self.inflight.expire(now_s)
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -105,16 +105,18 @@
 
     # Time and grants.
 
-    def tick(self, state, now_s, may_hold, forced=False):
+    def tick(self, state, now_s, may_hold, forced=False, held_until_s=None):
         """Return the actions to take now.
 
         ``may_hold`` says whether the fold is recent enough to decide on and a backend
         server is present; ``forced`` renews before the next interval is over.
+        ``held_until_s`` is as in `surrender`. Each renewal names it, since the grant
+        may outlast its lease, this process and the present witnesses.
         """
         actions = []
         if self.holder.tick(now_s):
             actions.append(report("lease_lapsed"))
-        actions += self._renew(state, now_s, may_hold, forced)
+        actions += self._renew(state, now_s, may_hold, forced, held_until_s)
         actions += self._reset_witnesses(state, now_s, may_hold)
         actions += self._start(state, now_s)
         actions += self._replace_witnesses(state, now_s)
@@ -145,7 +147,7 @@
             reset_pending=member.reset_pending,
         )
 
-    def _renew(self, state, now_s, may_hold, forced):
+    def _renew(self, state, now_s, may_hold, forced, held_until_s):
         own_lease = self.own_lease(state)
         longest_s = longest_lease_s(state, self._node_id)
         self._groups.lost.longest_lease_s = longest_s
@@ -161,7 +163,7 @@
             return []
         if self.holder.majority_overdue(now_s):
             reach_until_s = self.inflight.all_until_s(now_s)
-            ending = self.holder.pause(own_lease, reach_until_s, now_s)
+            ending = self.holder.pause(own_lease, reach_until_s, now_s, held_until_s)
             return [SendRenewal(witness, ending) for witness in self.holder.recipients]
         if self._groups.lost.must_wait(own_lease.reset_pending, now_s):
             return []
@@ -177,7 +179,11 @@
         self.holder.use_witnesses([group for group in groups if group])
         reach_until_s = self.inflight.reach_until_s(now_s)
         renewal = self.holder.renewal(
-            own_lease, reach_until_s, now_s, extra=not regular
+            own_lease,
+            reach_until_s,
+            now_s,
+            extra=not regular,
+            held_until_s=held_until_s,
         )
         return [
             SendRenewal(witness, self.holder.mark_vouched(renewal, witness))
@@ -254,7 +260,8 @@
         renewal = self.holder.surrender(
             self.own_lease(state), reach_until_s, now_s, held_until_s
         )
-        actions = [report("lease_surrendered", reason=reason)]
+        held_ms = 0 if held_until_s is None else max(0, 1000 * (held_until_s - now_s))
+        actions = [report("lease_surrendered", reason=reason, held_ms=round(held_ms))]
         actions += [SendRenewal(witness, renewal) for witness in witnesses]
         for claim in list(self.claims.values()):
             actions += self._end_claim(claim, now_s, held_until_s=held_until_s)
--- a/comfreywharf/ownership/holder.py
+++ b/comfreywharf/ownership/holder.py
@@ -168,24 +168,30 @@
             return False
         return self._majority_due_s is not None and now_s >= self._majority_due_s
 
-    def pause(self, own_lease, reach_until_s, now_s):
+    def pause(self, own_lease, reach_until_s, now_s, held_until_s=None):
         """Pause requests for a while; return the renewal that ends the lease.
 
         Answers that are still in transit no longer count, since the witnesses
-        that sent them will have ended the lease.
+        that sent them will have ended the lease. ``held_until_s`` is as in
+        `surrender`.
         """
         self._lease.reset()
         self._requested_until_s = float("-inf")
         self._paused_until_s = now_s + PAUSE_LEASES * self._terms.lease_s
         timeout_s = MAJORITY_TIMEOUT_LEASES * self._terms.lease_s
         self._majority_due_s = self._paused_until_s + timeout_s
-        return self._ending(own_lease, reach_until_s, now_s)
+        return self._ending(own_lease, reach_until_s, now_s, held_until_s)
 
-    def renewal(self, own_lease, reach_until_s, now_s, extra=False):
+    def renewal(self, own_lease, reach_until_s, now_s, extra=False, held_until_s=None):
         """Return the renewal to send to each of ``recipients`` now.
 
-        An ``extra`` renewal doesn't change when the next regular one is due.
+        An ``extra`` renewal doesn't change when the next regular one is due. The
+        lease is requested at least until ``held_until_s``, the end of the backend
+        server's last grant, if that is known: the grant may be based on an earlier
+        lease, and a witness counts by the newest request only.
         """
+        if held_until_s is not None:
+            self._requested_until_s = max(self._requested_until_s, held_until_s)
         if not extra:
             self._round_sent_s = now_s
         self._sent_epoch = max(own_lease.lease_epoch, own_lease.portfolio_epoch)
@@ -309,10 +315,10 @@
         self._chart.fire("surrender")
         self._lease.reset()
         self._requested_until_s = float("-inf")
-        held_s = 0.0 if held_until_s is None else max(0.0, held_until_s - now_s)
-        return self._ending(own_lease, reach_until_s, now_s, held_s)
+        return self._ending(own_lease, reach_until_s, now_s, held_until_s)
 
-    def _ending(self, own_lease, reach_until_s, now_s, held_s=0.0):
+    def _ending(self, own_lease, reach_until_s, now_s, held_until_s):
+        held_s = 0.0 if held_until_s is None else max(0.0, held_until_s - now_s)
         number = self._lease.next_number()
         return self._message(own_lease, held_s, reach_until_s - now_s, number)
 
--- a/comfreywharf/ownership/tests/builders.py
+++ b/comfreywharf/ownership/tests/builders.py
@@ -59,6 +59,7 @@
 
     def __init__(self, node_ids, rates, fenced=False, domains=None):
         self.fenced = fenced
+        self.longest_lease_s = 0.0
         self.real_s = 0.0
         self.log = []
         self.log_up = True
@@ -79,6 +80,7 @@
 
     def declare(self, service, slices, longest_lease_ms=0):
         """Declare a service, and start a planner's term for `move`."""
+        self.longest_lease_s = longest_lease_ms / 1000
         config = ServiceConfig(
             name=service, slices=slices, longest_lease_ms=longest_lease_ms
         )
@@ -204,6 +206,14 @@
             if slice_.start == right.slice_start
         )
 
+    def held_until_s(self, node):
+        """Return when the last grant ends that a node's server has, by its clock."""
+        ends_real_s = [
+            f.until_real_s for f in self.forwarded if f.node_id == node.node_id
+        ]
+        left_s = max(ends_real_s, default=self.real_s) - self.real_s
+        return node.now_s() + left_s * node.rate
+
     def released(self, node_id, slice_key):
         """Register that a node's backend server no longer holds a slice.
 
--- a/comfreywharf/ownership/tests/sim_node.py
+++ b/comfreywharf/ownership/tests/sim_node.py
@@ -65,6 +65,8 @@
             fenced=self.world.fenced,
         )
         self.agent.set_incarnation(self.incarnation, ended_predecessor)
+        longest_s = max(TERMS.lease_s, self.world.longest_lease_s)
+        self.unknown_until_s = self.now_s() + longest_s
         self.witness = None
         self.caught_up = False
         self.announced = False
@@ -94,10 +96,28 @@
         self._read_back()
         now_s = self.now_s()
         self.agent.inflight.expire(now_s)
-        self.carry_out(self.agent.tick(self.state, now_s, self.backend_up, forced))
+        self._tick_agent(forced)
         self._request_releases()
         self._report_lapses(now_s)
 
+    def _tick_agent(self, forced):
+        held_until_s = self.held_until_s()
+        self.carry_out(
+            self.agent.tick(
+                self.state, self.now_s(), self.backend_up, forced, held_until_s
+            )
+        )
+
+    def held_until_s(self):
+        """Return when the server's last grant ends, as this process knows it.
+
+        A new process knows only how long grants of the one before may last. ``None``
+        stands for servers whose grants aren't known.
+        """
+        if not self.world.fenced:
+            return None
+        return max(self.unknown_until_s, self.world.held_until_s(self))
+
     def _announce(self):
         if self.announced:
             return
@@ -287,9 +307,7 @@
             self.state, key.service, key.start, key.epoch, self.now_s()
         )
         if decision.notify_witnesses:
-            self.carry_out(
-                self.agent.tick(self.state, self.now_s(), self.backend_up, True)
-            )
+            self._tick_agent(True)
         if decision.released:
             self.world.released(self.node_id, key)
         return decision
--- a/comfreywharf/ownership/tests/test_sole_ownership.py
+++ b/comfreywharf/ownership/tests/test_sole_ownership.py
@@ -10,6 +10,7 @@
 )
 
 from comfreywharf.ownership.tests.builders import KEYS, SERVICE, make_world, move
+from comfreywharf.ownership.work_times import SAMPLES
 from comfreywharf.records import SliceMove, key_hash
 
 KEY = KEYS[0]
@@ -80,7 +81,7 @@
 
     def last_grant_end_s(self, node):
         """Return until when a node's server may hold keys; ``None`` if unknown."""
-        return None
+        return node.held_until_s()
 
     @rule(source=roles, sink=roles)
     def cut(self, source, sink):
@@ -173,9 +174,21 @@
     def begin(self):
         self.world = make_world(count=6, fenced=True, longest_lease_ms=3000)
 
-    def last_grant_end_s(self, node):
-        serving = node.agent.table.serving(node.state, node.now_s())
-        return max([until_s for *_, until_s in serving], default=node.now_s())
+    @rule(role=roles, work_s=st.sampled_from([0.01, 1.0]))
+    def reacquire(self, role, work_s):
+        """Acquire a lease anew, as after a reset of all connections to a server.
+
+        The new lease may be shorter than the one before.
+        """
+        node = self.node(role)
+        if node.frozen or not node.backend_up or not node.caught_up:
+            return
+        for _ in range(SAMPLES):
+            node.agent.work_times.add(work_s)
+        now_s, ends_s = node.now_s(), node.held_until_s()
+        node.carry_out(node.agent.surrender(node.state, "anew", now_s, ends_s))
+        if node.agent.holder.phase == "surrendered":
+            node.agent.recover()
 
     @rule(role=roles)
     def restart_in_place(self, role):
