Send a request again on a connection that hasn't carried it

Cause: a refused request is sent to the same server again under the same id, usually on the same connection, since the pool is last in, first out. A server that repeats the refusal there, in place of the next answer, can't be told from one that refuses the second send: both answers bear the id. The same holds for any repeated answer.

Change: the pool of a backend server's requests remembers which ids each connection has carried, for as long as their requests may be sent again (SentIds), and passes those connections over. They stay open for other requests. Only if no other connection may be opened is one of them closed. A look at idle bytes before the send isn't enough: the repeated answer comes after it.

The tests of the client's connections gave each request the same id; they give each one of its own now, as callers do.

--- a/comfreywharf/daemon/connections/http.py
+++ b/comfreywharf/daemon/connections/http.py
@@ -3,10 +3,12 @@
 from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.connections.response import BackendResponse
+from comfreywharf.daemon.connections.sent_ids import SentIds
 from comfreywharf.transport.sockets import is_closed_by_peer, is_open_and_idle
 
-__all__ = ["NodelayPool", "SingleSendClient"]
+__all__ = ["NodelayPool", "RequestClient", "SingleSendClient"]
 
 LONG_BODY_BYTES = 4096
 """Body length from which a server may refuse a request before it has read the body. A
@@ -66,6 +68,46 @@
         return is_open_and_idle(sock)
 
 
+class _RequestPool(NodelayPool):
+    """A connection pool that gives no connection to the same request twice."""
+
+    def __init__(self, *address, **settings):
+        super().__init__(*address, **settings)
+        self._sent_ids = SentIds()
+        self._waiting = 0
+
+    def get_socket_for(self, request_id, until_s):
+        """Return a connection that hasn't carried a request's id.
+
+        The request may be sent again before ``until_s``. Idle connections that carried
+        it are passed over. One is closed if no other could be opened beside it.
+        """
+        passed_over = []
+        try:
+            while True:
+                sock = self._get_counted()
+                now_s = boottime_s()
+                if not self._sent_ids.was_sent(sock, request_id, now_s):
+                    self._sent_ids.add(sock, request_id, until_s, now_s)
+                    return sock
+                # If every greenlet kept one and waited for another, none would
+                # get any.
+                if len(self._in_use) + self._waiting < self.size:
+                    passed_over.append(sock)
+                else:
+                    self.release_socket(sock)
+        finally:
+            for sock in passed_over:
+                self.return_socket(sock)
+
+    def _get_counted(self):
+        self._waiting += 1
+        try:
+            return self.get_socket()
+        finally:
+            self._waiting -= 1
+
+
 class SingleSendClient:
     """An HTTP client that sends each request at most once.
 
@@ -176,6 +218,22 @@
         self._pool.close()
 
 
+class RequestClient(SingleSendClient):
+    """An HTTP client whose connections carry each request once at most.
+
+    An answer names its request by the id only, and a server may repeat one late.
+    """
+
+    pool_type = _RequestPool
+
+    def connect_for(self, request_id, until_s):
+        """Return a connection as `connect` does, but none that carried this id.
+
+        ``until_s`` is until when the request may be sent again.
+        """
+        return self._pool.get_socket_for(request_id, until_s)
+
+
 def _needs_length(method, body):
     return body or method not in ("GET", "HEAD", "DELETE", "OPTIONS")
 
--- a/comfreywharf/daemon/servers/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -10,7 +10,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.connections.closing import shut_down
-from comfreywharf.daemon.connections.http import SingleSendClient
+from comfreywharf.daemon.connections.http import RequestClient
 from comfreywharf.membership.incarnations import ServerIncarnation
 from comfreywharf.routing import Reason
 
@@ -82,7 +82,7 @@
         self._control_client = self._make_client(CONTROL_CONNECTIONS)
 
     def _make_client(self, connections):
-        return SingleSendClient(
+        return RequestClient(
             self.announcement.host,
             self.announcement.port,
             concurrency=connections,
@@ -97,14 +97,17 @@
         """
         timeout = gevent.Timeout.start_new(running.deadline_s - boottime_s())
         try:
-            sock = self._connect(running)
+            sock = self._connect(request, running)
             return self._send(sock, request, header_lines, body, running)
         finally:
             timeout.close()
 
-    def _connect(self, running):
+    def _connect(self, request, running):
+        # Other nodes send the request again until its deadline, which may be later
+        # than that of the right to serve it.
+        resent_until_s = boottime_s() + request.remaining_ms / 1000
         try:
-            sock = self._client.connect()
+            sock = self._client.connect_for(request.request_id, resent_until_s)
         except gevent.Timeout as error:
             message = "no connection to the backend server before the deadline"
             raise BackendError(Reason.DEADLINE_BEFORE_START, message) from error
--- a/comfreywharf/daemon/tests/builders.py
+++ b/comfreywharf/daemon/tests/builders.py
@@ -136,10 +136,10 @@
     return RunningRequest(1, key, "attempt", Right(deadline_s=deadline_s), deadline_s)
 
 
-def forward_request(method="GET", path="/look"):
+def forward_request(method="GET", path="/look", request_id="id"):
     """Return a request for the owner."""
     return ForwardRequest(
-        request_id="id",
+        request_id=request_id,
         service_name="booking",
         key=b"vesta",
         method=method,
--- a/comfreywharf/daemon/tests/test_backend_answers.py
+++ b/comfreywharf/daemon/tests/test_backend_answers.py
@@ -3,9 +3,14 @@
 A scripted server sends each kind of bad answer over a real socket.
 """
 
+import itertools
+
+import gevent
 import pytest
 from geventhttpclient.response import HTTPParseError
 
+from comfreywharf.clock import boottime_s
+from comfreywharf.daemon.connections.http import RequestClient
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.tests.builders import (
     Reply,
@@ -17,11 +22,17 @@
 )
 from comfreywharf.routing import Reason
 
+NUMBERS = itertools.count()
+
 
-def exchange(backend, timeout_s=5.0, method="GET", body=b""):
-    """Return status and body of one request."""
+def exchange(backend, timeout_s=5.0, method="GET", body=b"", request_id=""):
+    """Return status and body of one request, which has an id of its own."""
+    request_id = request_id or f"request-{next(NUMBERS)}"
     response = backend.exchange(
-        forward_request(method), "", body, running_request(timeout_s=timeout_s)
+        forward_request(method, request_id=request_id),
+        "",
+        body,
+        running_request(request_id, timeout_s),
     )
     return response.status_code, response.read(1000)
 
@@ -168,3 +179,51 @@
     with ScriptedServer(Reply(answer)) as server:
         reply = backend_for(server).cancel("attempt", "id")
     assert (reply.confirmed, reply.not_run) == (trusted, trusted)
+
+
+def test_a_request_that_is_sent_again_uses_another_connection():
+    """Guards against a repeated answer to the first send that is taken for the answer
+    to the second. The pool has room for one connection."""
+    answers = [Reply(complete_answer(b"%d" % number)) for number in range(3)]
+    with ScriptedServer(*answers) as server:
+        backend = backend_for(server)
+        assert exchange(backend, request_id="first") == (200, b"0")
+        assert exchange(backend, request_id="second") == (200, b"1")
+        assert server.connections == 1
+        assert exchange(backend, request_id="first") == (200, b"2")
+        assert server.connections == 2
+
+
+def test_connections_that_carried_a_request_are_kept_for_others():
+    """Guards against a closed connection for each refused request that is resent."""
+    with ScriptedServer() as server:
+        client = RequestClient(
+            "127.0.0.1", server.port, concurrency=3, connect_timeout_s=1.0
+        )
+        first, second = (client.connect_for(name, boottime_s()) for name in "ab")
+        client.give_back(second)
+        client.give_back(first)
+        assert client.connect_for("a", boottime_s()) is second
+        third = client.connect_for("a", boottime_s())
+        assert third not in (first, second)
+        assert client.connect_for("c", boottime_s()) is first
+
+
+def test_resent_requests_at_the_connection_limit_dont_wait_for_each_other():
+    """Guards against requests that each keep a connection that they can't use, and
+    wait for another until their deadlines."""
+    with ScriptedServer() as server:
+        client = RequestClient(
+            "127.0.0.1", server.port, concurrency=4, connect_timeout_s=1.0
+        )
+        ids = [f"request-{number}" for number in range(8)]
+
+        def send(request_id):
+            sock = client.connect_for(request_id, boottime_s())
+            gevent.sleep(0.001)
+            client.give_back(sock)
+
+        with gevent.Timeout(5.0):
+            for _ in range(6):
+                gevent.joinall([gevent.spawn(send, i) for i in ids], raise_error=True)
+        assert client.connect_for("another", boottime_s())
--- a/comfreywharf/platform/tests/test_backends.py
+++ b/comfreywharf/platform/tests/test_backends.py
@@ -58,6 +58,47 @@
         assert exchange(server)[:3] == (200, b"own", True)
 
 
+def refusal_of(request_id):
+    """Return the bytes of an answer that says that a request wasn't run."""
+    lines = [f"X-Attempt-Id: {request_id}", "X-Not-Executed: 1"]
+    return complete_answer(b"", *lines).replace(b"200 OK", b"503 Full")
+
+
+@pytest.mark.parametrize("first", [refusal_of("id"), complete_answer(b"first", *OWN)])
+def test_a_repeated_answer_isnt_taken_for_that_to_the_next_send(first):
+    """Guards against a booking that is answered 503 and runs, or runs twice.
+
+    A server answers the first send of a request a second time where the answer to the
+    second send is expected. Both answers bear the request's id.
+    """
+
+    class Repeating(ScriptedServer):
+        runs = 0
+
+        def _serve(self, sock, address):
+            repeated = b""
+            while b"\r\n\r\n" in sock.recv(65536):
+                self.requests += 1
+                if self.requests == 1:
+                    sock.sendall(first)
+                    repeated = first
+                    continue
+                sock.sendall(repeated)
+                self.runs += 1
+                sock.sendall(complete_answer(b"second", *OWN))
+
+    with Repeating() as server:
+        backend = make_backend(server)
+        answers = []
+        for _ in range(2):
+            response = backend.exchange(
+                forward_request("POST"), "Host: a\r\n", b"", running_request()
+            )
+            answers.append((response.status_code, response.read(1000)))
+        assert server.runs == 1
+        assert answers[1] == (200, b"second")
+
+
 def test_a_request_is_lost_if_only_other_answers_arrive():
     """If the own answer never arrives, the request is lost."""
     reply = Reply(complete_answer(b"x", *OTHER), close=True)
