Take no refusal that names another request for a proof of "not run"

A request could be answered as not run, and run, after its server had repeated its refusals of earlier requests.

Cause: on the platform, after three answers to other requests the next one's head was not looked at, and a refusal counted before its id was compared. The project's own dialect never compared the id of a refusal.

Change: a request whose fourth answer names another is lost, that is, unknown; both dialects compare the id before a refusal counts.

--- a/comfreywharf/daemon/requests/forwarder.py
+++ b/comfreywharf/daemon/requests/forwarder.py
@@ -327,12 +327,11 @@
     def _reply(self, response):
         try:
             body = self._read_start(response)
-            refused = self._dialect.refused(response)
+            request_id = self._running.key.request_id
+            refused = self._dialect.refused(response, request_id)
             if refused is not None:
                 return self._refuse(refused)
-            if not self._dialect.answers_request(
-                response, self._running.key.request_id
-            ):
+            if not self._dialect.answers_request(response, request_id):
                 raise BackendError(Reason.ANSWER_MIXED, "an answer to another request")
             # A node that resumes after a long pause still considers its lease valid.
             # Callers would get answers of two owners for one key within the length
--- a/comfreywharf/daemon/requests/wire.py
+++ b/comfreywharf/daemon/requests/wire.py
@@ -119,8 +119,11 @@
         """
 
     @abstractmethod
-    def refused(self, response):
-        """Return the `Reason` if an answer proves "not run", else ``None``."""
+    def refused(self, response, request_id):
+        """Return the `Reason` if an answer proves a request "not run", else ``None``.
+
+        An answer that names another request proves nothing.
+        """
 
     @abstractmethod
     def answers_request(self, response, request_id):
@@ -134,10 +137,12 @@
         """Return the header lines."""
         return request_lines(request, running)
 
-    def refused(self, response):
+    def refused(self, response, request_id):
         """Return the reason if the server states that it didn't run the request."""
         if response.status_code < 400 or response.get("comfreywharf-not-run") != "1":
             return None
+        if not self.answers_request(response, request_id):
+            return None
         return Reason.REFUSED_BY_BACKEND
 
     def answers_request(self, response, request_id):
--- a/comfreywharf/daemon/tests/test_backend_answers.py
+++ b/comfreywharf/daemon/tests/test_backend_answers.py
@@ -11,6 +11,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.connections.http import RequestClient
+from comfreywharf.daemon.requests.wire import OwnDialect
 from comfreywharf.daemon.servers.backend import BackendError
 from comfreywharf.daemon.tests.builders import (
     Reply,
@@ -227,3 +228,21 @@
             for _ in range(6):
                 gevent.joinall([gevent.spawn(send, i) for i in ids], raise_error=True)
         assert client.connect_for("another", boottime_s())
+
+
+@pytest.mark.parametrize(
+    ("named", "reason"),
+    [
+        ("Comfreywharf-Request-Id: id", Reason.REFUSED_BY_BACKEND),
+        ("X-Other: 1", Reason.REFUSED_BY_BACKEND),
+        ("Comfreywharf-Request-Id: other", None),
+    ],
+)
+def test_a_refusal_of_another_request_proves_nothing(named, reason):
+    """Guards against a request that counts as not run, and runs, since its server
+    repeated the refusal of an earlier one."""
+    data = complete_answer(b"", named, "Comfreywharf-Not-Run: 1")
+    with ScriptedServer(Reply(data.replace(b"200 OK", b"503 Full"))) as server:
+        backend = backend_for(server)
+        response = backend.exchange(forward_request("POST"), "", b"", running_request())
+        assert OwnDialect().refused(response, "id") is reason
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -49,12 +49,14 @@
         lines.append(f"X-Target-Instance: {instance}")
         return join_lines(lines)
 
-    def refused(self, response):
+    def refused(self, response, request_id):
         """Return the reason if an answer proves that the request wasn't run.
 
         421 comes from a server that doesn't hold the key, or from another server at
         the same address. In both cases the owner of the key has to be found first.
         """
+        if response.get(ID_HEADER, request_id) != request_id:
+            return None
         if response.status_code == 421:
             return Reason.NOT_YET_OWNER
         if response.status_code >= 400 and response.get("x-not-executed"):
@@ -63,7 +65,7 @@
 
     def answers_request(self, response, request_id):
         """Reject an answer to another request, and a success without its stamp."""
-        if response.get("x-attempt-id") != request_id:
+        if response.get(ID_HEADER) != request_id:
             return False
         return response.status_code >= 300 or STAMP_HEADER in response
 
@@ -198,14 +200,17 @@
         the next one is expected. If it were taken for the answer to the running
         request, that request would end as unknown, although its own answer follows.
         """
-        for _ in range(MAX_SKIPPED_ANSWERS):
-            response.keeps_connection = True
-            response.read_head()
-            echoed = response.get(ID_HEADER)
-            if echoed is None or echoed == request.request_id:
-                break
+        response.keeps_connection = True
+        response.read_head()
+        skipped = 0
+        while response.get(ID_HEADER, request.request_id) != request.request_id:
+            if skipped == MAX_SKIPPED_ANSWERS:
+                raise HTTPParseError(f"{skipped + 1} answers name other requests")
+            skipped += 1
             response.drop()
             response = response.next_response()
+            response.keeps_connection = True
+            response.read_head()
         response.keeps_connection = False
         if response.whole:
             response.release()
--- a/comfreywharf/platform/tests/test_backends.py
+++ b/comfreywharf/platform/tests/test_backends.py
@@ -107,6 +107,25 @@
     assert caught.value.reason == Reason.BACKEND_LOST
 
 
+def test_refusals_of_other_requests_prove_nothing():
+    """Guards against a request that counts as not run since a server repeats its
+    refusals of others more often than answers are skipped."""
+
+    class Repeating(ScriptedServer):
+        def _serve(self, sock, address):
+            sock.recv(65536)
+            for _ in range(4):
+                sock.sendall(refusal_of("other"))
+                gevent.sleep(0.02)
+
+    with Repeating() as server, pytest.raises(BackendError) as caught:
+        backend = make_backend(server)
+        response = backend.exchange(forward_request("POST"), "", b"", running_request())
+        response.read(1000)
+        pytest.fail(f"{PlatformDialect().refused(response, 'id')} for another request")
+    assert caught.value.reason == Reason.BACKEND_LOST
+
+
 def test_an_answer_without_a_length_ends_with_its_connection():
     """Guards against callers without an answer from a server that sends no length.
 
@@ -156,7 +175,7 @@
     with ScriptedServer(Reply(data)) as server:
         backend = make_backend(server)
         response = backend.exchange(forward_request("POST"), "", b"", running_request())
-        assert PlatformDialect().refused(response) is reason
+        assert PlatformDialect().refused(response, "id") is reason
 
 
 def test_a_success_without_its_stamp_is_rejected():
