Use a connection once whose answers can't be told apart

A release could seem finished while work on its keys went on, so that another server would be granted keys on which this one still works.

Cause: answers to releases and probes bear no id, and their connections were used again. An answer that a server repeats late, in place of the next one, was taken for that. The same holds for an answer to a request without its id, which a refusal may come in.

Change: each release and each probe has a connection of its own, and a connection on which an answer without an id came isn't used again. Grants keep theirs: they are how a node knows the server's process, and a wrong answer to a grant makes no hold seem to end sooner than it may.

Measured: with the code before, the second release gets the first one's handover at once, and three requests use one connection.

--- a/comfreywharf/daemon/connections/http.py
+++ b/comfreywharf/daemon/connections/http.py
@@ -195,14 +195,18 @@
         long_body = not isinstance(body, bytes) or len(body) >= LONG_BODY_BYTES
         return BackendResponse(method, sock, self._pool, self.unframed, long_body)
 
-    def exchange(self, sock, method, target, header_lines, body, *, answered=None):
+    def exchange(
+        self, sock, method, target, header_lines, body, *, answered=None, reusable=True
+    ):
         """Send as `send` does; read the answer to its end, drop its body, return it.
 
+        The connection is closed after the answer unless it is ``reusable``.
         ``answered()`` is called while the connection still counts as open. One that
         the server closes with its answer couldn't confirm others afterwards.
         """
         response = self.send(sock, method, target, header_lines, body)
         response.keeps_connection = True
+        response.reusable = reusable
         try:
             response.read_head()
             response.drop()
--- a/comfreywharf/daemon/connections/response.py
+++ b/comfreywharf/daemon/connections/response.py
@@ -29,6 +29,8 @@
 
     If ``unframed`` answers are allowed, an answer without a length is complete when
     its connection is closed in the usual way, and truncated when it is reset.
+
+    A connection that isn't ``reusable`` is closed after its answer.
     """
 
     def __init__(self, method, sock, pool, unframed=False, long_body=False):
@@ -42,6 +44,7 @@
         self._interim_responses = 0
         self._receives = 0
         self.keeps_connection = False
+        self.reusable = True
 
     @property
     def whole(self):
@@ -195,10 +198,14 @@
         sock, self._sock = self._sock, None
         if sock is None:
             return
-        if not self._whole or self.should_close() or self._body_may_be_unread():
-            self._pool.release_socket(sock)
-        else:
+        if self._may_be_used_again():
             self._pool.return_socket(sock)
+        else:
+            self._pool.release_socket(sock)
+
+    def _may_be_used_again(self):
+        answered = self.reusable and self._whole and not self.should_close()
+        return answered and not self._body_may_be_unread()
 
     def _body_may_be_unread(self):
         """Return whether the server may have refused the request before its body.
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -29,7 +29,6 @@
 RELEASE_CONNECTIONS = 16
 """A release occupies its connection until the work on its keys has ended. On the
 connections of the grants, a few releases would block renewals until holds expire."""
-MAX_ANSWER_BYTES = 4096
 MAX_SKIPPED_ANSWERS = 3
 
 ID_HEADER = "X-Attempt-Id"
@@ -118,20 +117,25 @@
     def release(self, first, last, fence, timeout_s):
         """Return the server's handover, or ``None`` without a successful answer.
 
-        The next holder's server receives the handover with its grant.
+        The next holder's server receives the handover with its grant. An answer to a
+        release bears no id, so that each release has a connection of its own. If an
+        earlier answer were repeated on it, the release would seem finished while work
+        on its keys goes on.
         """
         fields = {"from": first, "to": last, "fence": fence}
         try:
             with gevent.Timeout(timeout_s):
                 sock = self._releases.connect()
-                answer = self._post(self._releases, sock, "/-/release", fields)
+                answer = self._post(
+                    self._releases, sock, "/-/release", fields, reusable=False
+                )
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return None
         return answer.get("x-handover", "") if answer.status_code == 200 else None
 
-    def _post(self, client, sock, target, fields):
+    def _post(self, client, sock, target, fields, **options):
         body = orjson.dumps(fields)
-        answer = client.exchange(sock, "POST", target, JSON_LINE, body)
+        answer = client.exchange(sock, "POST", target, JSON_LINE, body, **options)
         self._record_answer(AnswerKind.ORDER, answer)
         return answer
 
@@ -199,6 +203,8 @@
         A server may answer a request twice, and the second answer then arrives where
         the next one is expected. If it were taken for the answer to the running
         request, that request would end as unknown, although its own answer follows.
+        A copy of an answer without an id couldn't be told from the next one, so that
+        its connection isn't used again.
         """
         response.keeps_connection = True
         response.read_head()
@@ -211,6 +217,7 @@
             response = response.next_response()
             response.keeps_connection = True
             response.read_head()
+        response.reusable = response.get(ID_HEADER) is not None
         response.keeps_connection = False
         if response.whole:
             response.release()
@@ -222,19 +229,15 @@
 
         A failed probe is ignored; no error is raised.
         """
-        response = None
+        client = self._control_client
         try:
             with gevent.Timeout(PROBE_TIMEOUT_S):
-                response = self._control_client.request(
-                    "GET", self._health_path(), header_lines=self._host_line
-                )
-                response.read(MAX_ANSWER_BYTES)
+                sock = client.connect()
+                request = ("GET", self._health_path(), self._host_line, b"")
+                answer = client.exchange(sock, *request, reusable=False)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return
-        finally:
-            if response is not None:
-                response.release()
-        self._record_answer(AnswerKind.PROBE, response)
+        self._record_answer(AnswerKind.PROBE, answer)
 
     @property
     def _host_line(self):
--- a/comfreywharf/platform/tests/test_backends.py
+++ b/comfreywharf/platform/tests/test_backends.py
@@ -107,6 +107,20 @@
     assert caught.value.reason == Reason.BACKEND_LOST
 
 
+def test_a_connection_with_an_answer_without_an_id_isnt_used_again():
+    """Guards against a copy of that answer that is taken for one to a later request."""
+    nameless = complete_answer(b"", "X-Not-Executed: 1").replace(b"200 OK", b"503 Full")
+    with ScriptedServer(*3 * [Reply(nameless)]) as server:
+        backend = make_backend(server)
+        for number in range(3):
+            request = forward_request("POST", request_id=f"request-{number}")
+            running = running_request(request.request_id)
+            response = backend.exchange(request, "Host: a\r\n", b"", running)
+            refused = PlatformDialect().refused(response, request.request_id)
+            assert refused is Reason.REFUSED_BY_BACKEND
+        assert server.connections == 3
+
+
 def test_refusals_of_other_requests_prove_nothing():
     """Guards against a request that counts as not run since a server repeats its
     refusals of others more often than answers are skipped."""
--- a/comfreywharf/platform/tests/test_orders.py
+++ b/comfreywharf/platform/tests/test_orders.py
@@ -11,6 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
+from comfreywharf.daemon.tests.builders import ScriptedServer, complete_answer
 from comfreywharf.ownership.holds import GrantAnswer
 from comfreywharf.platform import backends
 from comfreywharf.platform.backends import PlatformOrders
@@ -228,3 +229,26 @@
         connect_all(orders)
         assert orders.connect_to_process() == process
     server.stop(timeout=0)
+
+
+def test_a_repeated_answer_ends_no_later_release():
+    """Guards against keys that another server is granted while work on them goes on.
+
+    A server answers a release a second time, where the answer to the next one is
+    expected. Neither bears an id.
+    """
+
+    class Repeating(ScriptedServer):
+        def _serve(self, sock, address):
+            repeated = b""
+            while b"\r\n\r\n" in sock.recv(65536):
+                self.requests += 1
+                sock.sendall(repeated)
+                gevent.sleep(0.1)
+                repeated = complete_answer(b"{}", f"X-Handover: h{self.requests}")
+                sock.sendall(repeated)
+
+    with Repeating() as server:
+        orders = make_orders(server.port)
+        handovers = [orders.release(i, i, fence=5, timeout_s=1.0) for i in range(3)]
+    assert handovers == ["h1", "h2", "h3"]
