Test answers whose server stops within their head

An operator of another system reported clients that got 200 with an empty or short body, framed as whole, after an upstream had stopped within its answer's head and closed.

It can't happen here: a head counts as complete with its blank line only, also behind interim (1xx) answers and behind a late answer to another request, and a connection that is closed before it is an error (BackendResponse.read_head and _receive). So no code is changed.

--- a/comfreywharf/platform/tests/builders.py
+++ b/comfreywharf/platform/tests/builders.py
@@ -13,7 +13,9 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.node import Node
+from comfreywharf.daemon.tests.builders import backend_for
 from comfreywharf.metrics import Metrics
+from comfreywharf.platform.backends import PlatformBackend
 from comfreywharf.platform.ports import PlatformPorts
 from comfreywharf.platform.settings import read_boot_file
 from comfreywharf.platform.unknown_names import UnknownNames
@@ -27,6 +29,7 @@
     "boot_text",
     "configuration",
     "ignore",
+    "make_backend",
     "unreported_names",
     "wait_for",
 ]
@@ -151,6 +154,12 @@
     return UnknownNames(lambda event, **fields: None, Metrics())
 
 
+def make_backend(server):
+    """Return the `PlatformBackend` of a `ScriptedServer`, with one connection."""
+    announced = backend_for(server).announcement
+    return PlatformBackend(announced, lambda: "/health", unreported_names(), ignore)
+
+
 def wait_for(condition, timeout_s=20.0):
     """Let greenlets run until a condition holds; raises `TimeoutError`."""
     end_s = boottime_s() + timeout_s
--- a/comfreywharf/platform/tests/test_backends.py
+++ b/comfreywharf/platform/tests/test_backends.py
@@ -11,24 +11,18 @@
 from comfreywharf.daemon.tests.builders import (
     Reply,
     ScriptedServer,
-    backend_for,
     complete_answer,
     forward_request,
     running_request,
 )
-from comfreywharf.platform.backends import PlatformBackend, PlatformDialect
-from comfreywharf.platform.tests.builders import ignore, unreported_names
+from comfreywharf.platform.backends import PlatformDialect
+from comfreywharf.platform.tests.builders import make_backend
 from comfreywharf.routing import Reason
 
 OWN = ("X-Attempt-Id: id", "X-Response-Stamp: s")
 OTHER = ("X-Attempt-Id: other", "X-Response-Stamp: s")
 
 
-def make_backend(server):
-    announced = backend_for(server).announcement
-    return PlatformBackend(announced, lambda: "/health", unreported_names(), ignore)
-
-
 def exchange(server):
     """Return the response to one request, with its body read."""
     backend = make_backend(server)
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -57,7 +57,9 @@
     didn't hold. While ``misdirects`` is set, it refuses all requests like these.
     ``arrivals`` counts all requests by their ids. Work that lasts longer than the hold
     that it began under ends with status 500, counted in ``outlasted_holds``. Answers
-    carry ``answer_id``, if it is set, as the id of the attempt.
+    carry ``answer_id``, if it is set, as the id of the attempt. If ``head_only`` is
+    set, each answer is what this function returns for its headers, and the connection
+    is closed behind it.
     While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
     report that it stays cold for ``cold_s``, and have the ``extra_fields``. All answers
     have the ``extra_headers``, name the ``limit``, a text, if there is one, and say
@@ -91,6 +93,7 @@
         self.grant_delay_s = 0.2
         self.answer_id = None
         self.extra_answers = 0
+        self.head_only = None
         self.headers = []
         self.extra_headers = []
         self.limit = None
@@ -376,6 +379,8 @@
         finished = self._work(hold_s)
         headers.append(("X-Attempt-Id", self.answer_id or request_id))
         headers.append(("X-Response-Stamp", f"stamp-{request_id}"))
+        if self.head_only is not None:
+            return _break_off(environ, self.head_only(headers))
         if not finished:
             self.outlasted_holds += 1
             return _respond(start_response, 500, headers, b"the hold has ended")
@@ -400,6 +405,14 @@
     return [body]
 
 
+def _break_off(environ, data):
+    """Send ``data`` as the answer, and close the connection."""
+    sock = environ["wsgi.input"].socket
+    sock.sendall(data)
+    sock.shutdown(socket.SHUT_RDWR)
+    return []
+
+
 def post(port, path, fields):
     """Post JSON and return the status."""
     body = orjson.dumps(fields)
