Require a last chunk of answers with a transfer coding

A truncated answer with "Transfer-Encoding: gzip" and no chunks looked whole to a client that takes no unframed answers: such a body ends with its connection (RFC 9112, 6.3).

Measured: the new case of test_a_truncated_answer_is_an_error fails on the code before.

--- a/comfreywharf/daemon/connections/response.py
+++ b/comfreywharf/daemon/connections/response.py
@@ -88,9 +88,18 @@
             self.method == "HEAD"
             or self.get_code() in (204, 304)
             or "content-length" in self._headers_index
-            or "transfer-encoding" in self._headers_index
+            or self._is_chunked()
         )
 
+    def _is_chunked(self):
+        """Return whether the last chunk ends the body (RFC 9112, 6.3).
+
+        With any other last transfer coding it ends with its connection.
+        """
+        value = self.get("transfer-encoding", "")
+        codings = ",".join(value) if isinstance(value, list) else value
+        return codings.rpartition(",")[2].strip().lower() == "chunked"
+
     def read_head(self):
         """Read until the headers of the final (not 1xx) response are complete."""
         while not self.headers_complete or self.get_code() < 200:
@@ -99,7 +108,7 @@
             # Such an answer ends where the connection ends. A truncated one would
             # be forwarded as a shorter, successful answer.
             raise HTTPParseError(
-                "the answer has no Content-Length and no Transfer-Encoding"
+                "the answer has no Content-Length and is not chunked"
             )
         if self._whole:
             self.release()
--- a/comfreywharf/daemon/tests/test_backend_answers.py
+++ b/comfreywharf/daemon/tests/test_backend_answers.py
@@ -120,10 +120,11 @@
         complete_answer(b"whole")[:-2],
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
         b"HTTP/1.1 200 OK\r\n\r\nno length given",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nno last chunk",
         b"HTTP/1.1 200 OK\r\nContent-Le",
         b"",
     ],
-    ids=["length", "chunks", "no length", "headers", "nothing"],
+    ids=["length", "chunks", "no length", "no chunks", "headers", "nothing"],
 )
 def test_a_truncated_answer_is_an_error(truncated):
     """The end of the connection isn't accepted as the end of an answer.
