Reset the witnesses only after the server's last grant has ended

Two servers could hold the same keys after a node's witnesses were lost while it acquired its lease anew.

Cause: a node without a majority of its witnesses records others after 2.5 of the shortest leases. They have been told of no grant, and let standbys claim the keys a renewal interval later. A grant of the lease before may last longer than that where longer leases are allowed, by 1.5 s with leases of up to 5.75 s (by arithmetic).

Change: the record waits for the end of the last grant, as the node knows it. The time without a majority is counted all along, so that the reset isn't later than that.

Measured: with a grant that lasts for 6 s, the code before records the reset after 2.5 s.

--- a/comfreywharf/daemon/connections/response.py
+++ b/comfreywharf/daemon/connections/response.py
@@ -107,9 +107,7 @@
         if not self._unframed and not self._has_length():
             # Such an answer ends where the connection ends. A truncated one would
             # be forwarded as a shorter, successful answer.
-            raise HTTPParseError(
-                "the answer has no Content-Length and is not chunked"
-            )
+            raise HTTPParseError("the answer has no Content-Length and is not chunked")
         if self._whole:
             self.release()
 
--- a/comfreywharf/ownership/agent.py
+++ b/comfreywharf/ownership/agent.py
@@ -117,7 +117,7 @@
         if self.holder.tick(now_s):
             actions.append(report("lease_lapsed"))
         actions += self._renew(state, now_s, may_hold, forced, held_until_s)
-        actions += self._reset_witnesses(state, now_s, may_hold)
+        actions += self._reset_witnesses(state, now_s, may_hold, held_until_s)
         actions += self._start(state, now_s)
         actions += self._replace_witnesses(state, now_s)
         for claim in list(self.claims.values()):
@@ -209,7 +209,7 @@
         elif grant.retry_after_s > 0:
             self.holder.refused(witness, grant.retry_after_s, now_s)
 
-    def _reset_witnesses(self, state, now_s, may_hold):
+    def _reset_witnesses(self, state, now_s, may_hold, held_until_s):
         own_lease = self.own_lease(state)
         may_hold = may_hold and own_lease.incarnation == self._incarnation
         wants_probe, record = self._groups.replace_lost(
@@ -217,7 +217,10 @@
         )
         if wants_probe:
             return [ProbeMembers()]
-        if record is None:
+        # The new witnesses have been told of no grant, so that they would let standbys
+        # claim the keys while the server still holds them.
+        is_held = held_until_s is not None and now_s < held_until_s
+        if record is None or is_held:
             return []
         return self._append(Purpose(RESET, own_lease.lease_epoch), record, now_s)
 
--- a/comfreywharf/ownership/tests/test_last_grants.py
+++ b/comfreywharf/ownership/tests/test_last_grants.py
@@ -4,8 +4,10 @@
 anew, its process restarts, its witnesses change, or the next lease is shorter.
 """
 
+import itertools
 from unittest import mock
 
+import attrs
 import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
@@ -15,8 +17,16 @@
     rule,
 )
 
-from comfreywharf.ownership import Holder, LeaseTerms, OwnLease
+from comfreywharf.ownership import (
+    Append,
+    Holder,
+    LeaseTerms,
+    OwnershipAgent,
+    OwnLease,
+)
 from comfreywharf.ownership.tests.builders import KEYS, Violation, make_world
+from comfreywharf.records import ClusterState
+from comfreywharf.records.tests.builders import make_member
 
 KEY = KEYS[0]
 LONGEST_S = 6.0
@@ -119,6 +129,34 @@
     assert renewal.lease_s == pytest.approx(TERMS.lease_s)
 
 
+def reset_after_s(held_s):
+    """Return when a node chooses other witnesses than those that are all silent.
+
+    Its server holds keys for ``held_s`` by grants of an earlier lease.
+    """
+    terms = LeaseTerms(lease_s=1.0, stale_after_s=10.0)
+    state = ClusterState(members={name: make_member(name) for name in "abcdefx"})
+    state.members["x"] = attrs.evolve(
+        state.members["x"], incarnation=1, witnesses=("a", "b", "c")
+    )
+    ids = map(str, itertools.count())
+    agent = OwnershipAgent("x", 1, terms, lambda: next(ids), fenced=True)
+    for tenth in range(100):
+        now_s = tenth / 10
+        agent.lost_witnesses.members_probed(set("defx"), now_s)
+        actions = agent.tick(state, now_s, True, held_until_s=max(now_s, held_s))
+        if any(isinstance(a, Append) for a in actions):
+            return now_s
+    return None
+
+
+def test_witnesses_are_not_reset_before_the_last_grant_ends():
+    """Guards against standbys whose claims the new witnesses grant while the server
+    still holds the keys: only the lost ones were told until when."""
+    assert reset_after_s(held_s=0.0) == pytest.approx(2.5)
+    assert reset_after_s(held_s=6.0) == pytest.approx(6.0)
+
+
 class LastGrants(RuleBasedStateMachine):
     """Whatever happens to a lease, its server's last grant is waited for.
 
