Take no repeated reply to a cancellation for that to the next one

With servers of the project's own protocol, a request could count as not run, and be sent again, though it had run: replies to cancellations bear no id, and a server that repeats one, in place of the next, proves another request "not run".

Change: each cancellation has a connection of its own.

Measured: with the code before, the second of two cancellations gets the first one's reply.

--- a/comfreywharf/daemon/servers/backend.py
+++ b/comfreywharf/daemon/servers/backend.py
@@ -167,6 +167,9 @@
                 response = self._control_client.send(
                     sock, "POST", "/cancel", "", message
                 )
+                # Replies bear no id: if an earlier one were repeated, it could prove
+                # another request "not run".
+                response.reusable = False
                 response.read_head()
                 document = orjson.loads(response.read(CANCEL_REPLY_BYTES))
             # A server that was restarted at the same port has no record of what the
--- a/comfreywharf/daemon/tests/test_backend_answers.py
+++ b/comfreywharf/daemon/tests/test_backend_answers.py
@@ -6,6 +6,7 @@
 import itertools
 
 import gevent
+import orjson
 import pytest
 from geventhttpclient.response import HTTPParseError
 
@@ -247,3 +248,26 @@
         backend = backend_for(server)
         response = backend.exchange(forward_request("POST"), "", b"", running_request())
         assert OwnDialect().refused(response, "id") is reason
+
+
+def test_a_repeated_reply_proves_no_other_request_not_run():
+    """Guards against a request that runs twice: the server repeats its reply to an
+    earlier cancellation, where that to the next one is expected."""
+
+    def reply_of(not_run):
+        document = {"instance": "1", "cancelled": True, "not_run": not_run}
+        return complete_answer(orjson.dumps(document))
+
+    class Repeating(ScriptedServer):
+        def _serve(self, sock, address):
+            repeated = b""
+            while b"\r\n\r\n" in sock.recv(65536):
+                self.requests += 1
+                own = reply_of(not_run=self.requests == 1)
+                sock.sendall(repeated or own)
+                repeated = own
+
+    with Repeating() as server:
+        backend = backend_for(server)
+        replies = [backend.cancel("attempt", f"request-{n}") for n in range(2)]
+    assert [reply.not_run for reply in replies] == [True, False]
