Tell answers to releases apart by their handovers

Cause: each release had a connection of its own, and a new connection takes a slot for a moment.

Change: connections of releases are kept again. A repeated answer has the handover of an earlier one on its connection; the release is then sent again on another connection, which no server refuses. An answer without a handover is the last on its connection.

Measured: tests of repeated answers, of one connection for three releases, and of servers that give no handover or the same one each time.

--- a/comfreywharf/daemon/connections/http.py
+++ b/comfreywharf/daemon/connections/http.py
@@ -196,20 +196,29 @@
         return BackendResponse(method, sock, self._pool, self.unframed, long_body)
 
     def exchange(
-        self, sock, method, target, header_lines, body, *, answered=None, reusable=True
+        self,
+        sock,
+        method,
+        target,
+        header_lines,
+        body,
+        *,
+        answered=None,
+        is_reusable=None,
     ):
         """Send as `send` does; read the answer to its end, drop its body, return it.
 
-        The connection is closed after the answer unless it is ``reusable``.
+        The connection is closed after the answer if ``is_reusable(answer)`` is false.
         ``answered()`` is called while the connection still counts as open. One that
         the server closes with its answer couldn't confirm others afterwards.
         """
         response = self.send(sock, method, target, header_lines, body)
         response.keeps_connection = True
-        response.reusable = reusable
         try:
             response.read_head()
             response.drop()
+            if is_reusable is not None:
+                response.reusable = is_reusable(response)
             if answered is not None:
                 answered()
         finally:
--- a/comfreywharf/platform/backends.py
+++ b/comfreywharf/platform/backends.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from functools import partial
+from weakref import WeakKeyDictionary
 
 import gevent
 import orjson
@@ -33,6 +34,7 @@
 
 ID_HEADER = "X-Attempt-Id"
 STAMP_HEADER = "x-response-stamp"
+HANDOVER_HEADER = "x-handover"
 JSON_LINE = "Content-Type: application/json\r\n"
 
 
@@ -88,6 +90,7 @@
             concurrency=RELEASE_CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
+        self._handovers = WeakKeyDictionary()
 
     def connect_to_process(self):
         """Return the number of the server process that grants would reach now."""
@@ -117,21 +120,38 @@
     def release(self, first, last, fence, timeout_s):
         """Return the server's handover, or ``None`` without a successful answer.
 
-        The next holder's server receives the handover with its grant. An answer to a
-        release bears no id, so that each release has a connection of its own. If an
-        earlier answer were repeated on it, the release would seem finished while work
-        on its keys goes on.
+        The next holder's server receives the handover with its grant.
         """
         fields = {"from": first, "to": last, "fence": fence}
         try:
             with gevent.Timeout(timeout_s):
-                sock = self._releases.connect()
-                answer = self._post(
-                    self._releases, sock, "/-/release", fields, reusable=False
-                )
+                answer = self._post_release(fields)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return None
-        return answer.get("x-handover", "") if answer.status_code == 200 else None
+        return answer.get(HANDOVER_HEADER, "") if answer.status_code == 200 else None
+
+    def _post_release(self, fields):
+        """Return the answer to a release, and no copy of the answer to another.
+
+        Answers to releases bear no id. If an earlier one were repeated in place of the
+        next on its connection, a release would seem finished while work on its keys
+        goes on. A copy has the same handover: the release is then sent again, on
+        another connection. One with an answer without a handover isn't used again.
+        """
+        while True:
+            sock = self._releases.connect()
+            earlier = self._handovers.setdefault(sock, set())
+            answer = self._post(
+                self._releases,
+                sock,
+                "/-/release",
+                fields,
+                is_reusable=partial(_has_new_handover, earlier),
+            )
+            handover = answer.get(HANDOVER_HEADER)
+            if handover not in earlier:
+                earlier.add(handover)
+                return answer
 
     def _post(self, client, sock, target, fields, **options):
         body = orjson.dumps(fields)
@@ -150,6 +170,11 @@
         self._releases.close()
 
 
+def _has_new_handover(earlier, answer):
+    handover = answer.get(HANDOVER_HEADER)
+    return bool(handover) and handover not in earlier
+
+
 _GRANT_ANSWERS = {200: GrantAnswer.TAKEN, 409: GrantAnswer.OUTDATED}
 
 
@@ -234,7 +259,7 @@
             with gevent.Timeout(PROBE_TIMEOUT_S):
                 sock = client.connect()
                 request = ("GET", self._health_path(), self._host_line, b"")
-                answer = client.exchange(sock, *request, reusable=False)
+                answer = client.exchange(sock, *request, is_reusable=lambda _: False)
         except (gevent.Timeout, OSError, RuntimeError, HTTPParseError):
             return
         self._record_answer(AnswerKind.PROBE, answer)
--- a/comfreywharf/platform/tests/test_orders.py
+++ b/comfreywharf/platform/tests/test_orders.py
@@ -231,24 +231,61 @@
     server.stop(timeout=0)
 
 
+class ReleasingServer(ScriptedServer):
+    """A server that answers the nth release with the nth of some handovers.
+
+    It ``repeats`` each answer in place of the next one on the connection.
+    """
+
+    repeats = False
+    handovers = ("h1", "h2", "h3", "h4", "h5")
+
+    def _serve(self, sock, address):
+        self.sockets.append(sock)
+        repeated = b""
+        while b"\r\n\r\n" in sock.recv(65536):
+            handover = self.handovers[self.requests]
+            self.requests += 1
+            sock.sendall(repeated)
+            gevent.sleep(0.05)
+            extra = (f"X-Handover: {handover}",) if handover else ()
+            own = complete_answer(b"{}", *extra)
+            sock.sendall(own)
+            repeated = own if self.repeats else b""
+
+
+def release_three(server):
+    orders = make_orders(server.port)
+    return [orders.release(i, i, fence=5, timeout_s=1.0) for i in range(3)]
+
+
 def test_a_repeated_answer_ends_no_later_release():
     """Guards against keys that another server is granted while work on them goes on.
 
     A server answers a release a second time, where the answer to the next one is
     expected. Neither bears an id.
     """
-
-    class Repeating(ScriptedServer):
-        def _serve(self, sock, address):
-            repeated = b""
-            while b"\r\n\r\n" in sock.recv(65536):
-                self.requests += 1
-                sock.sendall(repeated)
-                gevent.sleep(0.1)
-                repeated = complete_answer(b"{}", f"X-Handover: h{self.requests}")
-                sock.sendall(repeated)
-
-    with Repeating() as server:
-        orders = make_orders(server.port)
-        handovers = [orders.release(i, i, fence=5, timeout_s=1.0) for i in range(3)]
-    assert handovers == ["h1", "h2", "h3"]
+    with ReleasingServer() as server:
+        server.repeats = True
+        # The second and the third of five are sent again on another connection.
+        assert release_three(server) == ["h1", "h3", "h5"]
+
+
+def test_releases_use_connections_again():
+    """Guards against a new connection, which takes a slot, for each moved slice."""
+    with ReleasingServer() as server:
+        assert release_three(server) == ["h1", "h2", "h3"]
+        assert server.connections == 1
+
+
+def test_answers_without_a_handover_or_with_an_earlier_one_end_their_releases():
+    """Guards against releases that never end: such an answer may be a copy, but isn't
+    one on a connection of its own."""
+    with ReleasingServer() as server:
+        server.handovers = ("", "", "")
+        assert release_three(server) == ["", "", ""]
+        assert server.connections == 3
+    with ReleasingServer() as server:
+        server.handovers = 5 * ("same",)
+        assert release_three(server) == ["same", "same", "same"]
+        assert server.requests == 5
