Name the end of fenced grants when a lease is given up

With servers of the project's own protocol that check fences, a standby could serve a key while the server of a node that had given its lease up still ran requests for it, such as one that was frozen with them.

Cause: FencedGrants recorded no end of its grants, so that a surrender named none, and a witness waits for no request where fences are checked.

Change: the end of the last grant is recorded when it is sent. An accepted message replaces all earlier ones; one without an answer may still be applied. A crashed server holds nothing.

The new test fails on the code before, which knows no end.

--- a/comfreywharf/daemon/ownership/fenced_grants.py
+++ b/comfreywharf/daemon/ownership/fenced_grants.py
@@ -6,6 +6,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.ownership.key_grants import KeyGrants
+from comfreywharf.ownership.holds import NOTHING_HELD_S
 
 __all__ = ["FencedGrants"]
 
@@ -32,7 +33,10 @@
         self._node = node
         self._pushed = {}
         self._push_done = None
-        self._earlier_until_s = float("-inf")
+        self._sent_any = False
+        self._accepted_until_s = NOTHING_HELD_S
+        self._unanswered_until_s = NOTHING_HELD_S
+        self._earlier_until_s = NOTHING_HELD_S
 
     def refresh(self):
         """Renew all grants."""
@@ -82,11 +86,19 @@
         self._pushed = {}
 
     def backend_ended(self):
-        """Do nothing: grants to the next instance replace all previous ones."""
+        """Handle the end of the backend server, which no longer holds any key."""
+        self._accepted_until_s = self._unanswered_until_s = NOTHING_HELD_S
+        self._earlier_until_s = NOTHING_HELD_S
 
     def held_until_s(self, now_s):
-        """Return ``None``: the end of these grants is neither recorded nor awaited."""
-        return None
+        """Return when the last grant ends that the backend server may have.
+
+        Return ``None`` if no grant was sent, as to a server that checks no fences.
+        """
+        if not self._sent_any:
+            return None
+        sent_until_s = max(self._accepted_until_s, self._unanswered_until_s)
+        return max(sent_until_s, self._earlier_until_s, now_s)
 
     def _checks_fences(self):
         backend = self._node.backend
@@ -117,8 +129,15 @@
             }
             for _, slice_, fence, until_s in served
         ]
+        self._sent_any = True
+        sent_until_s = max((s[3] for s in served), default=NOTHING_HELD_S)
+        # Until it is answered it may reach the server, also after later ones.
+        unanswered_until_s = self._unanswered_until_s
+        self._unanswered_until_s = max(unanswered_until_s, sent_until_s)
         if node.backend.grant(orjson.dumps(message)):
-            self._earlier_until_s = float("-inf")
+            self._unanswered_until_s = unanswered_until_s
+            self._accepted_until_s = sent_until_s
+            self._earlier_until_s = NOTHING_HELD_S
             self._pushed = {
                 (service, slice_.start): _Pushed(fence, until_s)
                 for service, slice_, fence, until_s in served
--- a/comfreywharf/daemon/tests/test_fenced_grants.py
+++ b/comfreywharf/daemon/tests/test_fenced_grants.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import orjson
 import pytest
 
 from comfreywharf.clock import boottime_s
@@ -21,8 +22,8 @@
         return self.answers
 
 
-def grants_beside(backend, earlier_until_s):
-    table = SimpleNamespace(serving=lambda state, now_s: [])
+def grants_beside(backend, earlier_until_s=float("-inf"), served=()):
+    table = SimpleNamespace(serving=lambda state, now_s: list(served))
     node = SimpleNamespace(
         backend=backend,
         leases=SimpleNamespace(table=table),
@@ -56,3 +57,25 @@
     grants = grants_beside(backend, boottime_s() + left_s)
     assert grants.release("booking", 0, 0.1) == ""
     assert backend.messages == []
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_what_a_server_may_hold_lasts_until_its_grants_end(answers):
+    """Guards against a standby that serves a key while the server of a node that gave
+    its lease up runs requests for it, such as one that was frozen with them."""
+    now_s = boottime_s()
+    slice_ = SimpleNamespace(start=0, end=9)
+    served = [("booking", slice_, 5, now_s + 0.7), ("booking", slice_, 5, now_s + 0.9)]
+    backend = FakeBackend(checks_fences=True, answers=answers)
+    grants = grants_beside(backend, served=served)
+    assert grants.held_until_s(now_s) is None
+    grants.push()
+    assert len(orjson.loads(backend.messages[0])) == 2
+    assert grants.held_until_s(now_s) == now_s + 0.9
+    served.clear()
+    backend.answers = True
+    grants.push()
+    # The message with the grants may still be applied unless it was answered.
+    assert grants.held_until_s(now_s) == (now_s if answers else now_s + 0.9)
+    grants.backend_ended()
+    assert grants.held_until_s(now_s) == now_s
