Review: show a 408 for an upload that has run

Cause: a refusal whose outcome is unknown keeps the status of its reason, 408, which promises that nothing ran. The case is added, and nothing is fixed.

--- a/review/tools-2/standins.py
+++ b/review/tools-2/standins.py
@@ -267,8 +267,10 @@
 class Upstream:
     """A backend server: it holds granted keys, runs requests and sends heartbeats.
 
-    ``work_s(path)`` is how long a request takes. ``held_back`` may be set to a list
-    that gets heartbeats in place of the node; `deliver` sends one of them late.
+    ``work_s(path)`` is how long a request takes. If ``answers_early`` is set, it runs
+    and answers a chunked request when the first part of its body is in, and reads on.
+    ``held_back`` may be set to a list that gets heartbeats in place of the node;
+    `deliver` sends one of them late.
     """
 
     def __init__(self, record, machine, instance, service, sharded, work_s=None):
@@ -281,6 +283,7 @@
         self.state = "ready"
         self.silent = False
         self.held_back = None
+        self.answers_early = False
         self.sequence = 0
         self.slots = threading.BoundedSemaphore(12)
         self.ended = threading.Event()
@@ -319,6 +322,16 @@
     def answer(self, call):
         """Answer one call."""
         path = urlsplit(call.path).path
+        chunked = call.headers.get("Transfer-Encoding", "").lower() == "chunked"
+        if self.answers_early and chunked:
+            size = int(call.rfile.readline().split(b";")[0], 16)
+            self.run(call, path, call.rfile.read(size))
+            try:
+                call.rfile.readline()
+                _read_chunks(call.rfile)
+            except (ValueError, OSError):
+                call.close_connection = True
+            return
         try:
             body = _read_body(call)
         except (ValueError, OSError):
