--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # nothing is installed.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q tools-2 6 8 9
+python3 -m compileall -q tools-2 7 8 9
--- a/review/tools-2/standins.py
+++ b/review/tools-2/standins.py
@@ -269,6 +269,7 @@
 
     ``work_s(path)`` is how long a request takes. If ``answers_early`` is set, it runs
     and answers a chunked request when the first part of its body is in, and reads on.
+    Answers to GET have a body of ``answer_bytes``, if that is set, without a length.
     ``held_back`` may be set to a list that gets heartbeats in place of the node;
     `deliver` sends one of them late.
     """
@@ -284,6 +285,7 @@
         self.silent = False
         self.held_back = None
         self.answers_early = False
+        self.answer_bytes = 0
         self.sequence = 0
         self.slots = threading.BoundedSemaphore(12)
         self.ended = threading.Event()
@@ -424,8 +426,22 @@
                 self._lock.notify_all()
         stamp = f"{self.instance}.{request_id}"
         answer = {**echoed, "X-Response-Stamp": stamp}
+        if self.answer_bytes and call.command == "GET":
+            return self._send_chunked(call, answer, request_id)
         return self.send(call, 200, answer, f"done {request_id}".encode())
 
+    def _send_chunked(self, call, headers, request_id):
+        """Send a long answer, which consists of the id of its request."""
+        call.send_response(200)
+        for name, value in headers.items():
+            call.send_header(name, value)
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        part = request_id.encode() * (65536 // len(request_id))
+        for _ in range(self.answer_bytes // len(part)):
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(part), part))
+        call.wfile.write(b"0\r\n\r\n")
+
     def _beat(self):
         while not self.ended.is_set():
             if not self.silent:
@@ -716,6 +732,70 @@
     return status
 
 
+class SlowReader:
+    """A GET whose caller reads the head and the first bytes, pauses, and reads on.
+
+    ``foreign`` is the number of bytes in its body that belong to other requests, once
+    `finish` has read all; ``complete`` is whether the answer ended as a whole one.
+    """
+
+    def __init__(self, record, machine, target, deadline_ms):
+        self.record = record
+        self.id = os.urandom(8).hex()
+        self.status = 0
+        self.received = 0
+        self.foreign = 0
+        self.complete = False
+        self.stamp = None
+        self._sock = socket.socket()
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        self._sock.settimeout(deadline_ms / 1000)
+        self._sock.connect(("127.0.0.1", machine.ports["outbound"]))
+        self._sock.sendall(
+            f"GET {target} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {self.id}\r\n"
+            f"X-Deadline-Ms: {deadline_ms}\r\n\r\n".encode()
+        )
+        record.add("sent", id=self.id, to=machine.name, method="GET", target=target)
+        self._answer = http.client.HTTPResponse(self._sock, method="GET")
+
+    def begin(self):
+        """Read the head and the first bytes of the body."""
+        self._answer.begin()
+        self.status = self._answer.status
+        self.stamp = self._answer.getheader("X-Response-Stamp")
+        self._count(self._answer.read(65536))
+
+    def finish(self):
+        """Read the rest."""
+        note = ""
+        try:
+            while data := self._answer.read(65536):
+                self._count(data)
+            self.complete = True
+        except (OSError, http.client.HTTPException) as error:
+            note = type(error).__name__
+        self._sock.close()
+        self.record.add(
+            "read",
+            id=self.id,
+            status=self.status,
+            stamp=self.stamp,
+            bytes=self.received,
+            foreign=self.foreign,
+            complete=self.complete,
+            note=note,
+        )
+
+    def _count(self, data):
+        """Count the bytes, and those that the body of this request can't have."""
+        name = self.id.encode()
+        begin = self.received % len(name)
+        wanted = (name * (len(data) // len(name) + 2))[begin : begin + len(data)]
+        self.received += len(data)
+        if data != wanted:
+            self.foreign += sum(a != b for a, b in zip(data, wanted, strict=True))
+
+
 class SlowUpload:
     """An upload whose caller sends its body in two parts, with a pause in between.
 
