Bound the bytes of a chunked body that aren't of the body

What callers saw: three callers that sent trailers without end behind a chunked body took all memory of a node's process, which ended. Callers of that machine got no answer.

Cause: the parser reports each trailer as a header, and the node appended it to the headers of the request; a single trailer without end grew within the parser. Only the head had a bound. Extensions of chunks took no memory, but the greenlet that read them didn't let others run while bytes were there, and a deadline that shut the connection down for reading doesn't end a connection whose caller goes on sending.

Change: bytes in a row that aren't of the body may be as many as a head may have (the operator's limit of headers; no new setting). Trailers are dropped (RFC 9110, 6.5.1), so that they can't add headers behind the checked head. A read that follows another one of the same request lets other greenlets run, and no read is begun for a body that was too slow.

Ruled out by the same test: heads, empty lines, chunks and pipelined requests without end kept their bounds before this change.

--- a/comfreywharf/daemon/callers/caller_stream.py
+++ b/comfreywharf/daemon/callers/caller_stream.py
@@ -95,7 +95,8 @@
             self.url += url
 
     def on_header(self, name, value):
-        if not self.has_extra_bytes:
+        # Trailers, which come after the head, are dropped (RFC 9110, 6.5.1).
+        if not self.has_extra_bytes and not self.head_done:
             self.headers.append((name.decode("latin-1").lower(), _text(value)))
 
     def on_headers_complete(self):
@@ -131,6 +132,12 @@
         self.origin = ConnectionOrigin()
         self._limits = limits
         self._buffer = b""
+        self._receives = 0
+
+    @property
+    def header_bytes(self):
+        """Return how long a head may be, in bytes."""
+        return self._limits().header_bytes
 
     @property
     def has_bytes(self):
@@ -147,12 +154,13 @@
         callbacks = _ParserCallbacks()
         parser = httptools.HttpRequestParser(callbacks)
         callbacks.parser = parser
+        self._receives = 0
         read_bytes = 0
         with gevent.Timeout(self._limits().header_timeout_s, BadRequest(408)):
             while not callbacks.head_done:
                 data = self._take_to_empty_line()
                 read_bytes += len(data)
-                if read_bytes > self._limits().header_bytes:
+                if read_bytes > self.header_bytes:
                     raise BadRequest(431)
                 feed(parser, callbacks, data)
         return IncomingRequest(self, callbacks, _head(callbacks, parser), parser)
@@ -163,7 +171,7 @@
             end = self._buffer.find(HEAD_END)
             if end >= 0:
                 return self.take(end + len(HEAD_END))
-            if len(self._buffer) > self._limits().header_bytes:
+            if len(self._buffer) > self.header_bytes:
                 raise BadRequest(431)
             self._buffer += self._receive()
 
@@ -178,6 +186,12 @@
         return self.take(size)
 
     def _receive(self):
+        if self._receives:
+            # A receive that finds bytes doesn't switch to other greenlets. A caller
+            # that sends without end would otherwise stop the node, and no timeout
+            # would fire.
+            gevent.sleep(0)
+        self._receives += 1
         try:
             data = self.sock.recv(BLOCK_BYTES)
         except OSError as error:
@@ -241,6 +255,7 @@
         self._callbacks = callbacks
         self._parser = parser
         self._body_left = head.length
+        self._other_bytes = 0
         self._expects_continue = head.get("expect") is not None
         if not self.whole and stream.has_bytes:
             self._feed(stream.take(self._wanted_bytes))
@@ -257,7 +272,19 @@
     def _feed(self, data):
         if self._body_left > 0:
             self._body_left -= len(data)
+        received = len(self._callbacks.parts)
         feed(self._parser, self._callbacks, data)
+        self._check_progress(len(data), len(self._callbacks.parts) > received)
+
+    def _check_progress(self, received_bytes, of_body):
+        """Bound the bytes in a row that aren't of the body; raises `BadRequest`.
+
+        The sizes and extensions of chunks, and the trailers, have no length of their
+        own. They may be as long as a head.
+        """
+        self._other_bytes = 0 if of_body else self._other_bytes + received_bytes
+        if not self._callbacks.done and self._other_bytes > self._stream.header_bytes:
+            raise BadRequest(431)
 
     def _receive(self):
         self._feed(self._stream.receive_up_to(self._wanted_bytes))
--- a/comfreywharf/daemon/requests/bodies.py
+++ b/comfreywharf/daemon/requests/bodies.py
@@ -37,7 +37,8 @@
 
     ``length`` is -1 for a chunked body. Iterating raises `BodyError` if the body is
     truncated, or longer than the service allows. ``reading`` is true while a read
-    waits for the caller; `CallerWatch` sets ``too_slow`` before it ends that read.
+    waits for the caller; `CallerWatch` sets ``too_slow`` before it ends that read, and
+    no other one is begun then.
     """
 
     def __init__(self, stream, length, limit_bytes):
@@ -91,6 +92,10 @@
         return None
 
     def _read(self):
+        if self.too_slow:
+            # Bytes that were already received can still be read from a connection that
+            # was shut down, and a fast caller sends more of them all the time.
+            raise BodyError(Reason.BODY_TOO_SLOW)
         self.reading = True
         try:
             part = self._stream.read(PART_BYTES)
--- a/comfreywharf/daemon/tests/test_caller_server.py
+++ b/comfreywharf/daemon/tests/test_caller_server.py
@@ -222,3 +222,35 @@
     assert len(application.heads) == 1
     with pytest.raises(OSError):
         socket.create_connection(("127.0.0.1", server.port), 1)
+
+
+def chunked(*after_head, path="/a"):
+    head = f"POST {path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head.encode() + b"".join(after_head)
+
+
+def test_trailers_are_dropped(server, application):
+    """Guards against header fields that a caller adds behind the checked head."""
+    data = chunked(b"2\r\nhe\r\n0\r\nX-Late: 1\r\nHost: other\r\n\r\n")
+    assert status(exchange(server, data + LAST)) == 200
+    assert application.bodies[0] == b"he"
+    names = [name for name, _ in application.heads[0].headers]
+    assert names == ["host", "transfer-encoding"]
+
+
+@pytest.mark.parametrize(
+    "start", [b"0\r\nX-A: ", b"1;", b"000", b"0\r\nX-A: b\r\nX-B:"]
+)
+def test_bytes_of_no_body_are_bounded_like_a_head(server, application, start):
+    """Guards against memory for trailers, and time for extensions, without end."""
+    answer = exchange(server, chunked(b"2\r\nhe\r\n", start, b"0" * 200_000))
+    assert answer == b"" or status(answer) in (400, 431)
+    assert application.bodies == []
+
+
+def test_long_trailers_within_the_bound_are_read(server, application):
+    """Guards against a bound that ordinary trailers reach."""
+    trailers = b"".join(b"X-%d: %s\r\n" % (n, b"b" * 50) for n in range(10))
+    data = chunked(b"2\r\nhe\r\n0\r\n", trailers, b"\r\n")
+    assert status(exchange(server, data + LAST)) == 200
+    assert application.bodies[0] == b"he"
--- /dev/null
+++ b/comfreywharf/platform/tests/test_unruly_callers.py
@@ -0,0 +1,50 @@
+"""Callers that send, hold open or leave unread without end, against a real process."""
+
+import pytest
+
+from comfreywharf.platform.tests.node_process import NodeProcess, make_request
+
+pytestmark = pytest.mark.processes
+
+MEMORY_MB = 128
+MAX_DESCRIPTORS = 400
+FLOOD_BYTES = 40 << 20
+
+CHUNKED = make_request("POST", "/stock/1", Transfer_Encoding="chunked")
+
+FLOODS = {
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n"),
+    "one trailer": (CHUNKED + b"0\r\nX-A: ", b"b"),
+    "a chunk's extension": (CHUNKED + b"1;", b"x"),
+    "chunks": (CHUNKED, b"2\r\nxx\r\n"),
+    "a head": (b"GET /look/1 HTTP/1.1\r\n", b"X-A: b\r\n"),
+    "one header": (b"GET /look/1 HTTP/1.1\r\nX-A: ", b"b"),
+    "empty lines": (b"", b"\r\n"),
+    "requests": (b"", make_request()),
+}
+
+
+@pytest.fixture
+def node(tmp_path):
+    """Yield a node with long timeouts, so that only its own bounds end a connection."""
+    limits = {"headerTimeout": "600s", "idleTimeout": "600s"}
+    with NodeProcess(tmp_path, MEMORY_MB, MAX_DESCRIPTORS, **limits) as started:
+        yield started
+
+
+def assert_within_limits(node):
+    """Check that the process serves an ordinary request within its machine's limits."""
+    assert node.alive
+    assert node.peak_memory_mb <= MEMORY_MB
+    assert node.descriptors < MAX_DESCRIPTORS
+    assert node.send_request().status == 200
+    assert node.alive
+    assert node.peak_memory_mb <= MEMORY_MB
+
+
+@pytest.mark.parametrize("name", FLOODS)
+def test_a_request_without_an_end_stops_nobody_else(node, name):
+    """Guards against a process that runs out of memory, or serves one caller only."""
+    start, block = FLOODS[name]
+    with node.flood(start, block, 3, FLOOD_BYTES):
+        assert_within_limits(node)
