Keep the received part of a body as bytes, not as its chunks

What callers saw: forty callers that sent a body of 250 KB in chunks of two or three bytes and didn't end it took a node's process over its memory.

Cause: the parser's callback kept each chunk as an object of its own, which takes twenty times its bytes; the body of a short request was a list of all of them. A body that arrives a few bytes at a time was kept the same way.

Change: what one read returns, and a body that is read as a whole, are kept as contiguous bytes. A longer body is handed on in parts of 64 KiB, as it is when it is known as a whole.

--- a/comfreywharf/daemon/callers/caller_stream.py
+++ b/comfreywharf/daemon/callers/caller_stream.py
@@ -77,7 +77,7 @@
         self.url = b""
         self.headers = []
         self.head_done = False
-        self.parts = []
+        self.body = bytearray()
         self.done = False
         self.has_extra_bytes = False
         self.parser = None
@@ -111,7 +111,7 @@
 
     def on_body(self, data):
         if not self.has_extra_bytes:
-            self.parts.append(data)
+            self.body += data
 
     def on_message_complete(self):
         self.done = True
@@ -272,9 +272,9 @@
     def _feed(self, data):
         if self._body_left > 0:
             self._body_left -= len(data)
-        received = len(self._callbacks.parts)
+        held_bytes = len(self._callbacks.body)
         feed(self._parser, self._callbacks, data)
-        self._check_progress(len(data), len(self._callbacks.parts) > received)
+        self._check_progress(len(data), len(self._callbacks.body) > held_bytes)
 
     def _check_progress(self, received_bytes, of_body):
         """Bound the bytes in a row that aren't of the body; raises `BadRequest`.
@@ -295,16 +295,16 @@
         Raises `OSError` if the body is truncated or malformed. ``size`` isn't a
         limit: a part is what one read of the socket returned.
         """
-        if self._expects_continue and not self._callbacks.parts:
+        callbacks = self._callbacks
+        if self._expects_continue and not callbacks.body:
             self._expects_continue = False
             if self.turn is not None:
                 self.turn.wait()
             self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-        while not self._callbacks.parts and not self._callbacks.done:
+        while not callbacks.body and not callbacks.done:
             try:
                 self._receive()
             except (CallerGone, BadRequest) as error:
                 raise OSError("the body is truncated or malformed") from error
-        if not self._callbacks.parts:
-            return b""
-        return self._callbacks.parts.pop(0)
+        part, callbacks.body = bytes(callbacks.body), bytearray()
+        return part
--- a/comfreywharf/daemon/requests/bodies.py
+++ b/comfreywharf/daemon/requests/bodies.py
@@ -15,6 +15,7 @@
     "CallerBody",
     "StreamTable",
     "Upload",
+    "split_body",
 ]
 
 PART_BYTES = 64 * 1024
@@ -24,6 +25,16 @@
 IDLE_LIMIT_S = 30.0
 
 
+def split_body(body):
+    """Yield a body in parts of `PART_BYTES`, of which the last may be shorter.
+
+    >>> [len(part) for part in split_body(bytes(70_000))]
+    [65536, 4464]
+    """
+    for start in range(0, len(body), PART_BYTES):
+        yield body[start : start + PART_BYTES]
+
+
 class BodyError(Exception):
     """A body that can't be read completely; ``reason`` is the `Reason` for it."""
 
@@ -80,15 +91,14 @@
 
     def read_up_to(self, size_bytes):
         """Return the whole body, or ``None`` if it is longer than ``size_bytes``."""
-        parts = []
-        kept_bytes = 0
-        while kept_bytes <= size_bytes:
+        # A body that arrives a few bytes at a time would take more memory as a list.
+        data = bytearray()
+        while len(data) <= size_bytes:
             part = self._read()
             if not part:
-                return b"".join(parts)
-            parts.append(part)
-            kept_bytes += len(part)
-        self._pushed_back = parts
+                return bytes(data)
+            data += part
+        self._pushed_back = list(split_body(bytes(data)))
         return None
 
     def _read(self):
--- a/comfreywharf/daemon/requests/uploads.py
+++ b/comfreywharf/daemon/requests/uploads.py
@@ -6,7 +6,7 @@
 to date, such as renewals and records of the log, would queue behind the bodies.
 """
 
-from comfreywharf.daemon.requests.bodies import PART_BYTES
+from comfreywharf.daemon.requests.bodies import split_body
 from comfreywharf.daemon.requests.memory import resend_mark
 from comfreywharf.daemon.requests.quarantine import request_fingerprint
 from comfreywharf.transport import CallError
@@ -48,16 +48,9 @@
 
 
 def _send_body(client, stream_id, body, timeout_s):
-    for part in _parts(body):
+    parts = split_body(body) if isinstance(body, bytes) else body
+    for part in parts:
         if not client.call("write_upload", stream_id, part, timeout_s=timeout_s):
             if not isinstance(body, bytes):
                 body.push_back(part)
             return
-
-
-def _parts(body):
-    if not isinstance(body, bytes):
-        yield from body
-        return
-    for start in range(0, len(body), PART_BYTES):
-        yield body[start : start + PART_BYTES]
--- a/comfreywharf/platform/tests/test_unruly_callers.py
+++ b/comfreywharf/platform/tests/test_unruly_callers.py
@@ -9,6 +9,7 @@
 MEMORY_MB = 128
 MAX_DESCRIPTORS = 400
 FLOOD_BYTES = 40 << 20
+LONG_BODY_BYTES = 250_000
 
 CHUNKED = make_request("POST", "/stock/1", Transfer_Encoding="chunked")
 
@@ -48,3 +49,11 @@
     start, block = FLOODS[name]
     with node.flood(start, block, 3, FLOOD_BYTES):
         assert_within_limits(node)
+
+
+@pytest.mark.parametrize("size_bytes", [1, 2, 3])
+def test_a_body_in_small_chunks_takes_no_more_memory_than_its_bytes(node, size_bytes):
+    """Guards against memory that is taken for each chunk of an unfinished body."""
+    chunk = b"%x\r\n%s\r\n" % (size_bytes, b"x" * size_bytes)
+    node.hold(CHUNKED + chunk * (LONG_BODY_BYTES // size_bytes), 40)
+    assert_within_limits(node)
