Bound what the connections of all callers take together

What callers saw: a crowd that connected and sent nothing, or never finished its heads, took all descriptors of a node's process, which could then accept nobody, nor connect to its server. Unfinished bodies, uploads that waited for a slot, pipelined requests with many headers, and answers that nobody read took it over the memory of its machine.

Cause: each connection had bounds of its own (a head, 16 pipelined requests, 256 KiB of a body, 10 s for a part of an answer), but nothing bounded what all connections take together.

Change: load/callermemory.py decides, without socket or clock, who gets room. It counts connections, requests in service and an estimate of their memory. Once a bound is reached, connections that wait for their callers (idle, in the middle of a request, with an unsent answer) are closed, in the order of memory times waiting time; what is in service is not. What doesn't fit even then is refused at once with 503, router-full, since it hasn't run, and Retry-After says how long the requests that take the room last. Half of the requests and a quarter of the memory are kept from uploads, so that these can't lock short requests out. An answer always finds room. Long answers are sent without a copy. The bounds are settings, [callers], with defaults; on the platform they follow from the machine's memory and descriptors. Beside it: the reader of a connection is interrupted only while it still waits for a request. Before, the error could reach it while it waited for the last answers, and the connection was closed under them (seen once as a traceback in a run of the new tests).

--- a/comfreywharf/daemon/callers/caller_server.py
+++ b/comfreywharf/daemon/callers/caller_server.py
@@ -17,13 +17,15 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.callers.caller_stream import (
     BLOCK_BYTES,
     BadRequest,
     CallerGone,
     CallerStream,
 )
-from comfreywharf.daemon.connections.closing import reset_on_close
+from comfreywharf.daemon.connections.closing import reset_on_close, shut_down
+from comfreywharf.load.callermemory import CallerMemory
 
 __all__ = ["Answer", "CallerServer"]
 
@@ -41,6 +43,13 @@
 WRITE_TIMEOUT_S = 10.0
 """A caller that accepts no data for this long is disconnected, to free its greenlet."""
 
+JOINED_BYTES = 16 * 1024
+"""Body length up to which an answer is sent as one segment. A longer body isn't copied
+for that."""
+
+STREAMED_PART_BYTES = 256 * 1024
+"""The longest part of an answer that is kept while it is sent, beside the first."""
+
 _BODILESS = frozenset({204, 304})
 
 
@@ -81,12 +90,15 @@
 
     ``running`` has the `_Turn` of each of these requests, and ``last`` is that of the
     latest request. ``changed`` is an `Event` that wakes waits when a request ends.
+    ``account`` is the `CallerAccount` of what it holds.
     """
 
     def __init__(self, sock, limits):
         self.sock = sock
         self.stream = CallerStream(sock, limits)
+        self.account = self.stream.account
         self._limits = limits
+        self._unsent = 0
         self.last = None
         self.running = set()
         self.reading = False
@@ -110,6 +122,7 @@
         self._reader_waits = True
         try:
             self._await_request()
+            self.account.idle_since_s = None
             self.await_fewer_than(MAX_PIPELINED_REQUESTS)
             if not may_begin():
                 raise CallerGone
@@ -147,6 +160,20 @@
         self.running.discard(turn)
         turn.done.set()
         self.changed.set()
+        if self.idle:
+            self.account.idle_since_s = boottime_s()
+
+    def answer_made(self, now_s):
+        """Record that an answer is kept until the caller has read it."""
+        self._unsent += 1
+        if self._unsent == 1:
+            self.account.unsent_since_s = now_s
+
+    def answer_ended(self):
+        """Record that an answer was sent, or won't be."""
+        self._unsent -= 1
+        if not self._unsent:
+            self.account.unsent_since_s = None
 
     def send(self, answer, method, close):
         """Write an answer; raises `OSError`."""
@@ -168,11 +195,18 @@
         bodiless = answer.status in _BODILESS or method == "HEAD"
         with gevent.Timeout(WRITE_TIMEOUT_S, OSError("write timed out")):
             if answer.parts is None:
-                self.sock.sendall(data if bodiless else data + answer.body)
+                self._send_whole(data, b"" if bodiless else answer.body)
                 return
             self.sock.sendall(data)
         self._send_parts(answer.parts, chunked)
 
+    def _send_whole(self, head, body):
+        if len(body) <= JOINED_BYTES:
+            self.sock.sendall(head + body)
+            return
+        self.sock.sendall(head)
+        self.sock.sendall(body)
+
     def _send_parts(self, parts, chunked):
         for part in parts:
             if not part:
@@ -195,7 +229,12 @@
         self.closing = True
         self.changed.set()
         if self._reader_waits:
-            gevent.kill(self._reader, CallerGone())
+            gevent.get_hub().loop.run_callback(self._interrupt_reader)
+
+    def _interrupt_reader(self):
+        # By now, the reader may wait for the answers instead, which it has to.
+        if self._reader_waits:
+            self._reader.throw(CallerGone())
 
     def linger(self):
         """Shut the sending side down, then read and drop what the caller still sends.
@@ -219,19 +258,29 @@
     Pipelined requests are served concurrently and answered in their order. A request
     for which ``waits_for_earlier_requests(head)`` is true starts only once all earlier
     ones on its connection are answered. ``limits()`` returns the current
-    `CallerConnectionLimits`. After `retire`, each connection is closed with its last
-    answer; after `refuse_new`, no new request is served.
+    `CallerConnectionLimits`. ``memory`` is the `CallerMemory` that all connections
+    share: a request without room in it is passed on without a ``part``, and its
+    connection is closed with the answer. After `retire`, each connection is closed with
+    its last answer; after `refuse_new`, no new request is served.
     """
 
     def __init__(
-        self, host, port, application, limits, waits_for_earlier_requests=None
+        self,
+        host,
+        port,
+        application,
+        limits,
+        waits_for_earlier_requests=None,
+        memory=None,
     ):
         self._application = application
         self._limits = limits
+        self._memory = memory or CallerMemory()
+        self._memory.close = self._disconnect
         self._waits_for_earlier_requests = waits_for_earlier_requests or (
             lambda head: False
         )
-        self._connections = set()
+        self._connections = {}
         self._retiring = False
         self._refusing = False
         self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
@@ -248,7 +297,7 @@
     @property
     def busy_count(self):
         """Return how many connections have a request in progress."""
-        return sum(not connection.idle for connection in self._connections)
+        return sum(not connection.idle for connection in self._connections.values())
 
     def retire(self):
         """Close each connection with its last answer, and read no further request.
@@ -276,7 +325,11 @@
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(sock, self._limits)
-        self._connections.add(connection)
+        account = connection.account
+        if not self._memory.connect(account, boottime_s()):
+            sock.close()
+            return
+        self._connections[account] = connection
         try:
             while not connection.closing and self._read_one(connection):
                 pass
@@ -289,9 +342,16 @@
                 "connection of caller %s ended with an error: %s", address, error
             )
         finally:
-            self._connections.discard(connection)
+            del self._connections[account]
+            self._memory.disconnect(account)
             sock.close()
 
+    def _disconnect(self, account):
+        """Close a connection to make room; greenlets that wait for it get an error."""
+        connection = self._connections[account]
+        connection.reset()
+        shut_down(connection.sock)
+
     def _read_one(self, connection):
         """Read one request and start serving it; return whether to read the next."""
         try:
@@ -306,6 +366,9 @@
             connection.await_fewer_than(1)
         if not self._may_begin(connection):
             return False
+        request.take_room(self._memory, boottime_s())
+        if request.part is None:
+            request.head.keep_alive = False
         turn = request.turn = connection.begin()
         if request.whole and request.head.keep_alive:
             gevent.spawn(self._answer, connection, request, turn)
@@ -334,10 +397,14 @@
         self._answer_in_turn(connection, request, make_answer, turn)
 
     def _answer_in_turn(self, connection, request, make_answer, turn):
+        part = request.part if request else None
         try:
             try:
                 answer = make_answer()
+                if part is not None:
+                    part.keep_answer(_kept_bytes(answer), boottime_s())
             finally:
+                connection.answer_made(boottime_s())
                 # Even if this request fails, earlier ones are answered first.
                 turn.wait()
             if not connection.closing:
@@ -349,6 +416,9 @@
             connection.reset()
             raise
         finally:
+            connection.answer_ended()
+            if part is not None:
+                part.end(boottime_s())
             connection.end(turn)
 
     def _send(self, connection, request, answer, turn):
@@ -363,3 +433,9 @@
             connection.close()
         method = request.head.method if request else "GET"
         connection.send(answer, method, close)
+
+
+def _kept_bytes(answer):
+    """Return how much memory an answer takes until it is sent."""
+    streamed_bytes = 0 if answer.parts is None else STREAMED_PART_BYTES
+    return len(answer.body) + streamed_bytes
--- a/comfreywharf/daemon/callers/caller_stream.py
+++ b/comfreywharf/daemon/callers/caller_stream.py
@@ -10,6 +10,8 @@
 import gevent
 import httptools
 
+from comfreywharf.clock import boottime_s
+from comfreywharf.load.callermemory import CallerAccount, NoRoom
 from comfreywharf.load.nested import ConnectionOrigin
 
 __all__ = [
@@ -41,7 +43,8 @@
 
     ``length`` is that of the body, or -1 for a chunked one. ``headers`` are pairs of
     name and value in their original order, with names in lower case. ``keep_alive``
-    tells whether the connection is kept open after the answer.
+    tells whether the connection is kept open after the answer. ``size_bytes`` is how
+    long the head is.
     """
 
     method: str
@@ -49,6 +52,7 @@
     headers: list
     length: int
     keep_alive: bool
+    size_bytes: int = 0
 
     def get(self, name, default=None):
         """Return the first value of a header; ``default`` if the header is missing."""
@@ -124,11 +128,13 @@
 class CallerStream:
     """The byte stream of one caller's connection, split into requests.
 
-    ``origin`` is the `ConnectionOrigin` of the requests.
+    ``origin`` is the `ConnectionOrigin` of the requests, and ``account`` the
+    `CallerAccount` of the connection.
     """
 
     def __init__(self, sock, limits):
         self.sock = sock
+        self.account = CallerAccount()
         self.origin = ConnectionOrigin()
         self._limits = limits
         self._buffer = b""
@@ -155,6 +161,7 @@
         parser = httptools.HttpRequestParser(callbacks)
         callbacks.parser = parser
         self._receives = 0
+        self.account.read_wait_s = 0.0
         read_bytes = 0
         with gevent.Timeout(self._limits().header_timeout_s, BadRequest(408)):
             while not callbacks.head_done:
@@ -163,7 +170,9 @@
                 if read_bytes > self.header_bytes:
                     raise BadRequest(431)
                 feed(parser, callbacks, data)
-        return IncomingRequest(self, callbacks, _head(callbacks, parser), parser)
+        head = _head(callbacks, parser)
+        head.size_bytes = read_bytes
+        return IncomingRequest(self, callbacks, head, parser)
 
     def _take_to_empty_line(self):
         """Return the bytes up to the next empty line, which usually ends the head."""
@@ -173,7 +182,7 @@
                 return self.take(end + len(HEAD_END))
             if len(self._buffer) > self.header_bytes:
                 raise BadRequest(431)
-            self._buffer += self._receive()
+            self._buffer += self._receive_more()
 
     def take(self, size):
         """Return up to ``size`` bytes that were already received."""
@@ -182,9 +191,18 @@
 
     def receive_up_to(self, size):
         """Return between one and ``size`` of the next bytes; raises `CallerGone`."""
-        self.await_bytes()
+        if not self._buffer:
+            self._buffer = self._receive_more()
         return self.take(size)
 
+    def _receive_more(self):
+        """Return further bytes of a request that has begun."""
+        self.account.begin_reading(boottime_s())
+        try:
+            return self._receive()
+        finally:
+            self.account.end_reading(boottime_s())
+
     def _receive(self):
         if self._receives:
             # A receive that finds bytes doesn't switch to other greenlets. A caller
@@ -241,7 +259,8 @@
 class IncomingRequest:
     """One request that was received: its head, and its body as far as it was read.
 
-    ``origin`` is the `ConnectionOrigin` of its connection.
+    ``origin`` is the `ConnectionOrigin` of its connection, and ``part`` the `Part` of
+    the node's memory that it takes; ``None`` if there is no room for it.
     ``100 Continue`` is sent only after ``turn``, since it would otherwise appear among
     the answers to earlier requests on the connection.
     """
@@ -251,6 +270,7 @@
         self.sock = stream.sock
         self.origin = stream.origin
         self.turn = None
+        self.part = None
         self._stream = stream
         self._callbacks = callbacks
         self._parser = parser
@@ -265,6 +285,21 @@
         """Return whether the request was read to its end, without extra bytes."""
         return self._callbacks.done and not self._callbacks.has_extra_bytes
 
+    def take_room(self, memory, now_s):
+        """Take room in a `CallerMemory` for the head and what came with it."""
+        head = self.head
+        self.part = memory.begin(
+            self._stream.account,
+            head.size_bytes,
+            len(head.headers),
+            now_s,
+            is_upload=not self._callbacks.done,
+        )
+        came_bytes = len(self._callbacks.body)
+        if self.part is not None and not self.part.grow_body(came_bytes, now_s):
+            self.part.end(now_s)
+            self.part = None
+
     @property
     def _wanted_bytes(self):
         return BLOCK_BYTES if self._body_left < 0 else min(self._body_left, BLOCK_BYTES)
@@ -287,13 +322,16 @@
             raise BadRequest(431)
 
     def _receive(self):
-        self._feed(self._stream.receive_up_to(self._wanted_bytes))
+        data = self._stream.receive_up_to(self._wanted_bytes)
+        if self.part is not None and not self.part.grow_body(len(data), boottime_s()):
+            raise NoRoom("there is no memory for the rest of the body")
+        self._feed(data)
 
     def read(self, size):
         """Return the next part of the body, or ``b""`` at its end.
 
-        Raises `OSError` if the body is truncated or malformed. ``size`` isn't a
-        limit: a part is what one read of the socket returned.
+        Raises `OSError` if the body is truncated or malformed, and `NoRoom` if it can't
+        be kept. ``size`` isn't a limit: a part is what one read of the socket returned.
         """
         callbacks = self._callbacks
         if self._expects_continue and not callbacks.body:
--- a/comfreywharf/daemon/node.py
+++ b/comfreywharf/daemon/node.py
@@ -35,6 +35,7 @@
 from comfreywharf.daemon.requests.routes import Routes
 from comfreywharf.daemon.stopping import stop_gracefully, stop_within
 from comfreywharf.events.ownership import OwnershipTracker
+from comfreywharf.load.callermemory import CallerMemory
 from comfreywharf.membership import NodeFacts, NodeLifecycle, PauseDetector
 from comfreywharf.membership.evacuations import Evacuations
 from comfreywharf.membership.leaving import LeavingServer, LeavingServers
@@ -124,6 +125,7 @@
         self.load_reports.limit_per_s = lambda: self.load.rate_limit.limit_per_s
         self.forwarder = Forwarder(self)
         self.fleet_admission = FleetAdmission(self)
+        self.caller_memory = CallerMemory(self.ports.caller_bounds)
         self.ingress = Ingress(self, Dispatcher(self, self.ports.route_limits))
         self.ownership = OwnershipTracker(settings.node_id)
         self.meter = Meter(self)
--- a/comfreywharf/daemon/operating/metering.py
+++ b/comfreywharf/daemon/operating/metering.py
@@ -13,6 +13,10 @@
 __all__ = ["Meter"]
 
 SAMPLE_S = 0.25
+
+DISCONNECTED_REPORT_S = 5.0
+"""Minimum time between two events about callers that were disconnected."""
+
 _UNSERVED = frozenset(
     reason.value
     for reason in (
@@ -35,6 +39,8 @@
     def __init__(self, node):
         self._node = node
         self._metrics = node.metrics
+        self._disconnected = 0
+        self._disconnected_s = float("-inf")
 
     def request_refused(self, reply, began_s):
         """Count a request that was refused before it was dispatched.
@@ -91,8 +97,24 @@
                 for service, count in self._node.ownership.owned.items():
                     self._metrics.slices_unavailable(service, count, now_s - sampled_s)
             self._metrics.loop_woke(now_s - due_s)
+            self._report_disconnected(now_s)
             sampled_s = now_s
 
+    def _report_disconnected(self, now_s):
+        """Report how many callers were disconnected to make room, if any were."""
+        memory = self._node.caller_memory
+        count = memory.closed_count - self._disconnected
+        if not count or now_s - self._disconnected_s < DISCONNECTED_REPORT_S:
+            return
+        self._disconnected = memory.closed_count
+        self._disconnected_s = now_s
+        self._node.report(
+            "callers_disconnected",
+            count=count,
+            connections=memory.connections,
+            held_bytes=memory.held_bytes,
+        )
+
     def scrape(self, accept):
         """Return ``(body, headers)`` for Prometheus."""
         # The library that renders is needed by few processes, and not at their start.
@@ -117,6 +139,9 @@
             early_return_refusals=node.fleet_admission.early_return_refusals(),
             waiting_requests=node.ingress.running,
             streams=node.ingress.streaming,
+            caller_connections=node.caller_memory.connections,
+            caller_memory_bytes=node.caller_memory.held_bytes,
+            disconnected_callers=node.caller_memory.closed_count,
             lease_held=held,
             lease_remaining_s=holder.lease.until_s() - now_s if held else 0.0,
             log_reachable=node.follower.reachable,
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -17,6 +17,7 @@
 from comfreywharf.daemon.requests.wire import OwnDialect
 from comfreywharf.daemon.servers.backend import Backend
 from comfreywharf.load import DEFAULT_CHOOSER, ByReportedLoad, ConcurrencyLimit
+from comfreywharf.load.callermemory import CallerBounds
 from comfreywharf.load.fairqueue import FairQueue
 from comfreywharf.ownership import LeaseTerms
 from comfreywharf.placement import PlacementTuning
@@ -48,6 +49,7 @@
       to be in force.
     - ``evacuate_s``: the time in seconds after an order to evacuate a failure domain
       from which on its backend servers may get nothing new.
+    - ``caller_bounds``: the `CallerBounds` of a node's process.
     """
 
     fenced = False
@@ -63,6 +65,7 @@
     fleet_admission = False
     routes_apply_s = float("inf")
     evacuate_s = 5.0
+    caller_bounds = CallerBounds()
 
     @property
     @abstractmethod
@@ -133,6 +136,11 @@
         self.chooses_by_load = settings.choose_by_load
         self.fleet_admission = settings.fleet_admission
         self.placement = attrs.evolve(self.placement, by_work=settings.place_by_work)
+        self.caller_bounds = CallerBounds(
+            memory_bytes=settings.caller_memory_mb << 20,
+            connections=settings.caller_connections,
+            requests=settings.caller_requests,
+        )
 
     @property
     def dialect(self):
--- a/comfreywharf/daemon/requests/bodies.py
+++ b/comfreywharf/daemon/requests/bodies.py
@@ -6,6 +6,7 @@
 import gevent.event
 from gevent.queue import Empty, Full, Queue
 
+from comfreywharf.load.callermemory import NoRoom
 from comfreywharf.routing import Reason
 
 __all__ = [
@@ -109,6 +110,8 @@
         self.reading = True
         try:
             part = self._stream.read(PART_BYTES)
+        except NoRoom as error:
+            raise BodyError(Reason.ROUTER_FULL) from error
         except OSError as error:
             raise BodyError(self._truncation_reason()) from error
         finally:
--- a/comfreywharf/daemon/requests/dispatch.py
+++ b/comfreywharf/daemon/requests/dispatch.py
@@ -6,7 +6,7 @@
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.requests.bodies import PART_BYTES, BodyError
 from comfreywharf.daemon.requests.caller_requests import target_left_ms
-from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.requests.replies import body_refusal, refusal
 from comfreywharf.daemon.requests.retries import Retries
 from comfreywharf.daemon.requests.uploads import is_inline, send_upload
 from comfreywharf.daemon.servers.backend import BackendError
@@ -334,7 +334,8 @@
         """Return the refusal of a request whose body broke off while it was sent."""
         self.cancel(call)
         outcome = Outcome.NOT_RUN if call.body.replayable else Outcome.UNKNOWN
-        return refusal(error.reason, outcome=outcome), None
+        memory = self._node.caller_memory
+        return body_refusal(error.reason, memory, boottime_s(), outcome), None
 
     def cancel(self, call):
         """Cancel a request at the node that has it: its answer is no longer needed."""
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -17,7 +17,7 @@
 from comfreywharf.daemon.requests.caller_requests import parse_request
 from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
 from comfreywharf.daemon.requests.dispatch import AnswerTruncated
-from comfreywharf.daemon.requests.replies import refusal
+from comfreywharf.daemon.requests.replies import body_refusal, refusal
 from comfreywharf.daemon.servers.nested_calls import NestedCallMarker
 from comfreywharf.routing import Outcome, Reason
 from comfreywharf.transport.arrivals import unread_s
@@ -90,7 +90,7 @@
 
     def refuse(self, reason, now_s, request_id=""):
         """Return the reply to a request that is refused before it is dispatched."""
-        reply = refusal(reason)
+        reply = body_refusal(reason, self._node.caller_memory, now_s)
         self._node.meter.request_refused(reply, now_s)
         self._node.decisions.turned_away(request_id, reply, now_s)
         return reply
@@ -129,7 +129,8 @@
             return refused, None
         reason = self._read_body(source, call)
         if reason is not None:
-            return refusal(reason), None
+            memory = self._node.caller_memory
+            return body_refusal(reason, memory, boottime_s()), None
         return self._dispatcher.dispatch(call)
 
     def _stream_to_caller(self, parts, sock):
--- a/comfreywharf/daemon/requests/replies.py
+++ b/comfreywharf/daemon/requests/replies.py
@@ -3,7 +3,13 @@
 from comfreywharf.routing import Answer, Outcome, Reason, verdict_of
 from comfreywharf.transport.gen.ttypes import ForwardReply, Header
 
-__all__ = ["FIRST_STATUS_HEADER", "answer_to_remember", "refusal", "reply_from_answer"]
+__all__ = [
+    "FIRST_STATUS_HEADER",
+    "answer_to_remember",
+    "body_refusal",
+    "refusal",
+    "reply_from_answer",
+]
 
 FIRST_STATUS_HEADER = "Comfreywharf-First-Status"
 """Carries the status of an earlier answer whose body wasn't kept."""
@@ -30,6 +36,15 @@
     )
 
 
+def body_refusal(reason, memory, now_s, outcome=None):
+    """Return the reply to a request whose body can't be read, for a `Reason`.
+
+    Without room in the `CallerMemory`, it says when there probably is some.
+    """
+    wait_s = memory.retry_after_s(now_s) if reason is Reason.ROUTER_FULL else 0.0
+    return refusal(reason, retry_after_ms=int(wait_s * 1000), outcome=outcome)
+
+
 def answer_to_remember(reply, body_kept):
     """Return the `Answer` to remember of a reply."""
     return Answer(
--- a/comfreywharf/metrics/families.py
+++ b/comfreywharf/metrics/families.py
@@ -181,6 +181,27 @@
             "queue",
             "Requests that entered here and wait for their answer now",
         ),
+        _family(
+            "caller_connections",
+            _GAUGE,
+            "",
+            "callers",
+            "Connections of callers that are open",
+        ),
+        _family(
+            "caller_memory_bytes",
+            _GAUGE,
+            "",
+            "callers",
+            "Estimated memory of callers' connections, requests and unsent answers",
+        ),
+        _family(
+            "disconnected_callers_total",
+            _COUNTER,
+            "",
+            "callers",
+            "Connections that were closed to make room, since their callers stalled",
+        ),
         _family("streams", _GAUGE, "", "streams", "Large answers being passed on now"),
         _family(
             "lease_held", _GAUGE, "", "leases", "1 while this node holds its lease"
--- a/comfreywharf/metrics/registry.py
+++ b/comfreywharf/metrics/registry.py
@@ -59,6 +59,9 @@
     admission_levels: dict[str, tuple[int, float]] = attrs.Factory(dict)
     early_return_refusals: dict[str, int] = attrs.Factory(dict)
     known_loads: dict[tuple[str, str], int] = attrs.Factory(dict)
+    caller_connections: int = 0
+    caller_memory_bytes: int = 0
+    disconnected_callers: int = 0
     planned_capacity_slots: dict[tuple[str, str], float] = attrs.Factory(dict)
 
 
--- a/comfreywharf/metrics/render.py
+++ b/comfreywharf/metrics/render.py
@@ -96,6 +96,9 @@
             {name: fraction for name, (_, fraction) in gauges.admission_levels.items()}
         ),
         "waiting_requests": _unlabelled(gauges.waiting_requests),
+        "caller_connections": _unlabelled(gauges.caller_connections),
+        "caller_memory_bytes": _unlabelled(gauges.caller_memory_bytes),
+        "disconnected_callers_total": _unlabelled(gauges.disconnected_callers),
         "streams": _unlabelled(gauges.streams),
         "lease_held": _unlabelled(int(gauges.lease_held)),
         "lease_remaining_seconds": _unlabelled(gauges.lease_remaining_s),
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -83,13 +83,14 @@
     def __call__(self, head, connection):
         """Return the `Answer` to one request."""
         now_s = boottime_s()
-        parsed = self._parse(head, connection.origin, now_s)
+        parsed = self._parse(head, connection, now_s)
         if isinstance(parsed, Failure):
             request_id = head.get("x-attempt-id", "")[:MAX_LOGGED_ID_CHARS]
             reply = self._node.ingress.refuse(parsed.failure(), now_s, request_id)
             if reply.status == 503:
                 # The routes are unknown or may be outdated until the next read.
-                reply.retry_after_ms = int(READ_WAIT_S * 1000)
+                routes_ms = int(READ_WAIT_S * 1000)
+                reply.retry_after_ms = reply.retry_after_ms or routes_ms
             return _answer(reply, None, head)
         source = BodySource(
             coding="chunked" if head.length < 0 else None,
@@ -100,7 +101,9 @@
         reply, parts = self._node.ingress.serve(request, source, connection.sock, now_s)
         return _answer(reply, parts, head)
 
-    def _parse(self, head, origin, now_s) -> Result[CallerRequest, Reason]:
+    def _parse(self, head, connection, now_s) -> Result[CallerRequest, Reason]:
+        if connection.part is None:
+            return Failure(Reason.ROUTER_FULL)
         routes = self._node.routes
         if not routes.version:
             return Failure(Reason.NO_ROUTES)
@@ -144,7 +147,9 @@
             repeatable=route.repeatable,
             target_ms=route.latency_target_ms,
         )
-        may_be_nested = origin.may_be_nested(part.service, self._caller_service)
+        may_be_nested = connection.origin.may_be_nested(
+            part.service, self._caller_service
+        )
         return Success(
             CallerRequest(
                 request,
--- a/comfreywharf/platform/ports.py
+++ b/comfreywharf/platform/ports.py
@@ -118,6 +118,7 @@
         self.routes_apply_s = settings.routes_apply_s
         self.evacuate_s = settings.evacuate_s
         self.chooses_by_load = PRESSURE in settings.contracts
+        self.caller_bounds = settings.caller_bounds
         self.caller_server = None
         self.lifecycle = None
         self._routes = None
@@ -180,6 +181,7 @@
             application,
             application.limits,
             application.waits_for_earlier_requests,
+            node.caller_memory,
         )
         self.lifecycle = BackendLifecycle(node, settings.drain_s)
         operators = OperatorPort(node)
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -6,6 +6,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from comfreywharf.load.callermemory import CallerBounds
 from comfreywharf.ownership.holds import SLOW_CLOCK
 from comfreywharf.platform.configuration import GRANT_WAYS
 from comfreywharf.platform.durations import duration_s
@@ -31,6 +32,19 @@
 """Backend servers' clocks may run 2% slow; the rest is for the machines' clocks."""
 
 
+MEMORY_SHARE = 0.3
+"""The part of the machine's memory that callers may take. A process without callers
+takes up to a third."""
+
+FILE_DESCRIPTORS = 200
+"""How many of a machine's descriptors aren't for sockets."""
+
+CONNECTION_SHARE = 0.5
+REQUEST_SHARE = 0.25
+"""Parts of the sockets for callers' connections, and for requests, each of which may
+need a connection to another node. The rest is for what other nodes send."""
+
+
 @attrs.frozen(kw_only=True)
 class PlatformSettings:
     """The settings that the platform gives a process, as the product's types.
@@ -46,6 +60,7 @@
     ``extra_retries`` beside them. ``grant_interval_s`` is the time between two grants
     if these are answers to heartbeats, and zero if they are sent at any time.
     ``contracts`` are the names of what the deployment uses beside the basic protocol.
+    ``caller_bounds`` follow from the machine's memory and descriptors.
     """
 
     node: NodeSettings
@@ -70,6 +85,7 @@
     store_writes_per_s: float
     store_reads_per_s: float
     contracts: frozenset[str] = frozenset()
+    caller_bounds: CallerBounds = attrs.Factory(CallerBounds)
 
 
 class _Fields:
@@ -168,6 +184,26 @@
     return math.ceil(lease_s * 1000)
 
 
+def _caller_bounds(memory_mb, descriptors):
+    """Return the `CallerBounds` of a machine; its limits may be missing.
+
+    >>> _caller_bounds(300, 4100)
+    CallerBounds(memory_bytes=94371840, connections=1950, requests=975)
+    """
+    bounds = CallerBounds()
+    if memory_mb is not None:
+        memory_bytes = int(memory_mb * MEMORY_SHARE) << 20
+        bounds = attrs.evolve(bounds, memory_bytes=memory_bytes)
+    if descriptors is not None:
+        sockets = max(descriptors - FILE_DESCRIPTORS, descriptors / 2)
+        bounds = attrs.evolve(
+            bounds,
+            connections=int(sockets * CONNECTION_SHARE),
+            requests=int(sockets * REQUEST_SHARE),
+        )
+    return bounds
+
+
 def read_boot_file(path) -> Result[PlatformSettings, list]:
     """Return ``Success(PlatformSettings)``, or ``Failure`` with all findings."""
     try:
@@ -208,6 +244,10 @@
         "store_writes_per_s": read("platform.platform.writesPerS", _positive, 400.0),
         "store_reads_per_s": read("platform.platform.readsPerS", _positive, 2000.0),
     }
+    caller_bounds = _caller_bounds(
+        optional("self.limits.memoryMb", _positive, None),
+        optional("self.limits.maxFds", _positive, None),
+    )
     contracts = optional("terms.contracts", _names, frozenset())
     uses_heartbeat_grants = read("grants", _uses_heartbeat_grants, False)
     if fields.findings:
@@ -240,5 +280,6 @@
         if uses_heartbeat_grants
         else 0.0,
         contracts=contracts,
+        caller_bounds=caller_bounds,
         **numbers,
     )
--- a/comfreywharf/platform/tests/node_process.py
+++ b/comfreywharf/platform/tests/node_process.py
@@ -63,6 +63,7 @@
         self.max_descriptors = max_descriptors
         self.ports = free_ports()
         self._boot_path = path / "node.conf"
+        self._lines_path = path / "lines.log"
         self._limits = limits
         self._store = PlatformStore()
         self.server = PlatformServer("i-1", "stock", [])
@@ -81,7 +82,7 @@
         self._process = subprocess.Popen(
             [sys.executable, str(SCRIPT)],
             env={"COMFREYWHARF_BOOT": str(self._boot_path)},
-            stdout=subprocess.DEVNULL,
+            stdout=self._stack.enter_context(self._lines_path.open("wb")),
         )
         limit = (self.max_descriptors, self.max_descriptors)
         resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limit)
--- a/comfreywharf/platform/tests/test_latency_targets.py
+++ b/comfreywharf/platform/tests/test_latency_targets.py
@@ -24,7 +24,8 @@
     headers.append(("x-deadline-ms", str(deadline_ms)))
     head = Head(method="GET", target="/a/b", headers=headers, length=0, keep_alive=True)
     origin = SimpleNamespace(may_be_nested=lambda service, caller: False)
-    return application._parse(head, origin, 0.0).unwrap().request.target_ms
+    incoming = SimpleNamespace(origin=origin, part=object())
+    return application._parse(head, incoming, 0.0).unwrap().request.target_ms
 
 
 def test_one_caller_with_much_time_doesnt_make_the_others_late(application):
--- a/comfreywharf/platform/tests/test_unruly_callers.py
+++ b/comfreywharf/platform/tests/test_unruly_callers.py
@@ -10,6 +10,8 @@
 MAX_DESCRIPTORS = 400
 FLOOD_BYTES = 40 << 20
 LONG_BODY_BYTES = 250_000
+PIPELINED_REQUESTS = 16
+MAX_HEADER_BYTES = 8192
 
 CHUNKED = make_request("POST", "/stock/1", Transfer_Encoding="chunked")
 
@@ -38,7 +40,8 @@
     assert node.alive
     assert node.peak_memory_mb <= MEMORY_MB
     assert node.descriptors < MAX_DESCRIPTORS
-    assert node.send_request().status == 200
+    answer = node.send_request()
+    assert answer.status == 200, answer.body
     assert node.alive
     assert node.peak_memory_mb <= MEMORY_MB
 
@@ -57,3 +60,63 @@
     chunk = b"%x\r\n%s\r\n" % (size_bytes, b"x" * size_bytes)
     node.hold(CHUNKED + chunk * (LONG_BODY_BYTES // size_bytes), 40)
     assert_within_limits(node)
+
+
+def test_unfinished_bodies_stay_within_the_memory(node):
+    """Guards against callers that never send the last byte of their bodies."""
+    body = b"x" * LONG_BODY_BYTES
+    data = make_request(
+        "POST", "/stock/1", body, Content_Length=str(LONG_BODY_BYTES + 1)
+    )
+    node.hold(data, MAX_DESCRIPTORS - 40)
+    assert_within_limits(node)
+
+
+def test_uploads_that_wait_stay_within_the_memory(node):
+    """Guards against callers whose long bodies wait for a slot of the server."""
+    node.server.may_finish.clear()
+    length = str(4 * LONG_BODY_BYTES)
+    data = make_request(
+        "POST", "/stock/1", b"x" * 2 * LONG_BODY_BYTES, Content_Length=length
+    )
+    node.hold(data, MAX_DESCRIPTORS - 40)
+    node.server.may_finish.set()
+    assert_within_limits(node)
+
+
+def test_unread_answers_stay_within_the_memory(node):
+    """Guards against callers that send requests and never read the answers."""
+    node.server.answer_body = b"x" * LONG_BODY_BYTES
+    for _ in range(4):
+        # As many as wait for a slot of the server without being refused.
+        node.hold(pipelined(), 16)
+    assert_within_limits(node)
+
+
+def test_requests_with_many_headers_stay_within_the_memory(node):
+    """Guards against memory that is taken for each header of a waiting request."""
+    node.server.may_finish.clear()
+    headers = {f"A{number:x}": "" for number in range(MAX_HEADER_BYTES // 10)}
+    node.hold(pipelined(**headers), 80)
+    node.server.may_finish.set()
+    assert_within_limits(node)
+
+
+def test_connections_without_requests_leave_descriptors_to_others(node):
+    """Guards against callers that connect and then send nothing."""
+    node.hold(b"", MAX_DESCRIPTORS)
+    assert_within_limits(node)
+
+
+def test_unfinished_heads_leave_descriptors_to_others(node):
+    """Guards against callers that never send the end of a head."""
+    node.hold(make_request()[:-2], MAX_DESCRIPTORS)
+    assert_within_limits(node)
+
+
+def pipelined(**headers):
+    """Return pipelined requests, which may be repeated and so run beside each other."""
+    return b"".join(
+        make_request(X_Attempt_Id=f"id-{number}", **headers)
+        for number in range(PIPELINED_REQUESTS)
+    )
--- a/comfreywharf/routing/outcomes.py
+++ b/comfreywharf/routing/outcomes.py
@@ -48,6 +48,7 @@
     WRONG_OWNER = "wrong-owner"
     NO_OWNER = "no-owner"
     NOT_YET_OWNER = "not-yet-owner"
+    ROUTER_FULL = "router-full"
     OVERLOADED = "overloaded"
     BACKEND_COLD = "backend-cold"
     BACKEND_LIMITED = "backend-limited"
--- a/comfreywharf/settings/model.py
+++ b/comfreywharf/settings/model.py
@@ -25,6 +25,8 @@
     ``choose_by_load``, servers of services that aren't divided by key are chosen by the
     load that their nodes tell. ``fleet_admission`` is as in `Ports`.
     With ``place_by_work``, slices weigh the slot time that their requests need.
+    ``caller_memory_mb``, ``caller_connections`` and ``caller_requests`` bound what all
+    callers take together, as `CallerBounds` does.
     """
 
     node_id: str
@@ -44,3 +46,6 @@
     choose_by_load: bool = False
     fleet_admission: bool = False
     place_by_work: bool = False
+    caller_memory_mb: int = 128
+    caller_connections: int = 4096
+    caller_requests: int = 2048
--- a/comfreywharf/settings/reader.py
+++ b/comfreywharf/settings/reader.py
@@ -21,6 +21,9 @@
 MIN_LEASE_MS = 200
 MAX_LEASE_MS = 10_000
 MAX_DRIFT_PER_MILLE = 50
+MIN_CALLER_MEMORY_MB = 4
+MAX_CALLER_MEMORY_MB = 1 << 20
+MAX_CALLERS = 1_000_000
 
 SECTIONS = {
     "node": (
@@ -43,6 +46,11 @@
         Key("lease_ms", IntegerKind(MIN_LEASE_MS, MAX_LEASE_MS, "ms")),
         Key("drift_per_mille", IntegerKind(0, MAX_DRIFT_PER_MILLE, "per mille")),
     ),
+    "callers": (
+        Key("memory_mb", IntegerKind(MIN_CALLER_MEMORY_MB, MAX_CALLER_MEMORY_MB, "MB")),
+        Key("connections", IntegerKind(1, MAX_CALLERS)),
+        Key("requests", IntegerKind(1, MAX_CALLERS)),
+    ),
     "load": (
         Key("choose_by_load", YesNoKind()),
         Key("fleet_admission", YesNoKind()),
@@ -51,7 +59,14 @@
 }
 
 _PORTS = ("caller_port", "peer_port", "operator_port", "backend_port")
-_FIELDS = {"id": "node_id", "address": "log", "stream": "log_stream"}
+_FIELDS = {
+    "id": "node_id",
+    "address": "log",
+    "stream": "log_stream",
+    "memory_mb": "caller_memory_mb",
+    "connections": "caller_connections",
+    "requests": "caller_requests",
+}
 """The fields of `NodeSettings` whose names differ from their keys in the file."""
 
 
--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -57,7 +57,8 @@
     didn't hold. While ``misdirects`` is set, it refuses all requests like these.
     ``arrivals`` counts all requests by their ids. Work that lasts longer than the hold
     that it began under ends with status 500, counted in ``outlasted_holds``. Answers
-    carry ``answer_id``, if it is set, as the id of the attempt. If ``head_only`` is
+    carry ``answer_id``, if it is set, as the id of the attempt, and ``answer_body``
+    instead of the body of the request. If ``head_only`` is
     set, each answer is what this function returns for its headers, and the connection
     is closed behind it.
     While ``heartbeats_off`` is set, the server sends no heartbeats. The heartbeats
@@ -92,6 +93,7 @@
         self.lose_grants = 0
         self.grant_delay_s = 0.2
         self.answer_id = None
+        self.answer_body = b""
         self.extra_answers = 0
         self.head_only = None
         self.headers = []
@@ -384,7 +386,9 @@
         if not finished:
             self.outlasted_holds += 1
             return _respond(start_response, 500, headers, b"the hold has ended")
-        return _respond(start_response, 200, headers, body or b"done")
+        return _respond(
+            start_response, 200, headers, self.answer_body or body or b"done"
+        )
 
     def _work(self, hold_s):
         """Work for ``work_s``; return false if ``hold_s`` was over before the end."""
