Bound the write of 100 Continue, and of the end of a chunked answer

What callers saw: nothing yet; found by looking for what a caller can leave unread. One that doesn't read its answers and then sends a request with Expect: 100-continue kept its connection, its greenlet and its place among the node's connections for as long as it liked.

Cause: all other writes to callers end after 10 s without progress; these two didn't. The watch that ends slow bodies shuts the connection down for reading only, which doesn't end a write.

Change: they have the same timeout.

Result: test_a_caller_that_reads_nothing_cant_hold_its_continue_open failed before (still blocked after 5 s, with a timeout of 0.1 s) and passes after. The end of a chunked answer has no test of its own.

--- a/comfreywharf/daemon/callers/caller_server.py
+++ b/comfreywharf/daemon/callers/caller_server.py
@@ -23,6 +23,7 @@
     BadRequest,
     CallerGone,
     CallerStream,
+    write_timeout,
 )
 from comfreywharf.daemon.connections.closing import reset_on_close, shut_down
 from comfreywharf.load.callermemory import CallerMemory
@@ -40,8 +41,6 @@
 closed."""
 
 LINGER_TIMEOUT_S = 0.5
-WRITE_TIMEOUT_S = 10.0
-"""A caller that accepts no data for this long is disconnected, to free its greenlet."""
 
 JOINED_BYTES = 16 * 1024
 """Body length up to which an answer is sent as one segment. A longer body isn't copied
@@ -193,7 +192,7 @@
             lines.append("Connection: close")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         bodiless = answer.status in _BODILESS or method == "HEAD"
-        with gevent.Timeout(WRITE_TIMEOUT_S, OSError("write timed out")):
+        with write_timeout():
             if answer.parts is None:
                 self._send_whole(data, b"" if bodiless else answer.body)
                 return
@@ -213,10 +212,11 @@
                 continue
             if chunked:
                 part = b"%x\r\n%s\r\n" % (len(part), part)
-            with gevent.Timeout(WRITE_TIMEOUT_S, OSError("write timed out")):
+            with write_timeout():
                 self.sock.sendall(part)
         if chunked:
-            self.sock.sendall(b"0\r\n\r\n")
+            with write_timeout():
+                self.sock.sendall(b"0\r\n\r\n")
 
     def reset(self):
         """Reset the connection, so that a partial answer doesn't look complete."""
--- a/comfreywharf/daemon/callers/caller_stream.py
+++ b/comfreywharf/daemon/callers/caller_stream.py
@@ -22,11 +22,15 @@
     "CallerStream",
     "Head",
     "IncomingRequest",
+    "write_timeout",
 ]
 
 BLOCK_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
 
+WRITE_TIMEOUT_S = 10.0
+"""A caller that accepts no data for this long is disconnected, to free its greenlet."""
+
 
 @attrs.frozen(kw_only=True)
 class CallerConnectionLimits:
@@ -219,6 +223,11 @@
         return data
 
 
+def write_timeout():
+    """Return a context that raises `OSError` if a write takes `WRITE_TIMEOUT_S`."""
+    return gevent.Timeout(WRITE_TIMEOUT_S, OSError("write timed out"))
+
+
 def feed(parser, callbacks, data):
     """Feed bytes of a request to its parser; raises `BadRequest`."""
     try:
@@ -338,7 +347,8 @@
             self._expects_continue = False
             if self.turn is not None:
                 self.turn.wait()
-            self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            with write_timeout():
+                self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         while not callbacks.body and not callbacks.done:
             try:
                 self._receive()
--- a/comfreywharf/daemon/tests/test_caller_server.py
+++ b/comfreywharf/daemon/tests/test_caller_server.py
@@ -6,8 +6,12 @@
 import pytest
 from gevent import socket
 
+from comfreywharf.daemon.callers import caller_stream
 from comfreywharf.daemon.callers.caller_server import Answer, CallerServer
-from comfreywharf.daemon.callers.caller_stream import CallerConnectionLimits
+from comfreywharf.daemon.callers.caller_stream import (
+    CallerConnectionLimits,
+    CallerStream,
+)
 
 
 class Application:
@@ -229,6 +233,35 @@
     return head.encode() + b"".join(after_head)
 
 
+@pytest.fixture
+def deaf_caller():
+    """Yield a node's socket whose caller has sent a request and reads nothing."""
+    ours, theirs = socket.socketpair()
+    with contextlib.closing(ours), contextlib.closing(theirs):
+        yield ours, theirs
+
+
+def test_a_caller_that_reads_nothing_cant_hold_its_continue_open(
+    deaf_caller, monkeypatch
+):
+    """Guards against a connection that stays open for as long as its caller likes.
+
+    The caller doesn't read the earlier answers, so that nothing more can be written.
+    """
+    monkeypatch.setattr(caller_stream, "WRITE_TIMEOUT_S", 0.1)
+    ours, theirs = deaf_caller
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+    theirs.sendall(head + b"Content-Length: 5\r\n\r\n")
+    limits = CallerConnectionLimits(
+        header_bytes=1000, header_timeout_s=1.0, idle_timeout_s=1.0
+    )
+    request = CallerStream(ours, lambda: limits).read_request()
+    with gevent.Timeout(0.1, False):
+        ours.sendall(b"x" * (1 << 24))
+    with gevent.Timeout(5.0), pytest.raises(OSError, match="timed out"):
+        request.read(1)
+
+
 def test_trailers_are_dropped(server, application):
     """Guards against header fields that a caller adds behind the checked head."""
     data = chunked(b"2\r\nhe\r\n0\r\nX-Late: 1\r\nHost: other\r\n\r\n")
