Answer 504 if a slow upload may have run

Cause: the status followed from the reason alone, also where the outcome was unknown since a part of the body had been passed on. The new refusal for want of memory would have got 503 in the same way.

Change: a reply whose outcome is unknown never has a status that promises "not run"; it is 504 instead.

--- a/comfreywharf/daemon/requests/replies.py
+++ b/comfreywharf/daemon/requests/replies.py
@@ -11,6 +11,11 @@
     "reply_from_answer",
 ]
 
+PROMISES_NOT_RUN = frozenset({408, 503})
+"""Statuses by which a caller knows that its request wasn't run."""
+
+GATEWAY_TIMEOUT = 504
+
 FIRST_STATUS_HEADER = "Comfreywharf-First-Status"
 """Carries the status of an earlier answer whose body wasn't kept."""
 
@@ -18,12 +23,16 @@
 def refusal(reason, *, retry_after_ms=0, owner_hint="", outcome=None):
     """Return the reply to a request without an answer, for a `Reason`.
 
-    ``outcome`` overrides the default outcome of the reason.
+    ``outcome`` overrides the default outcome of the reason. If that is unknown, the
+    status promises nothing.
     """
     verdict = verdict_of(reason)
+    status = verdict.status
+    if outcome is Outcome.UNKNOWN and status in PROMISES_NOT_RUN:
+        status = GATEWAY_TIMEOUT
     return ForwardReply(
         outcome=outcome or verdict.outcome,
-        status=verdict.status,
+        status=status,
         headers=[],
         body=b"",
         stream_id=0,
