Serve callers of the own protocol with the bounded server

What callers saw: three callers that sent trailers without end to the callers' port of a node with the project's own protocol stopped the node: no other request was answered while they sent. Heads and idle connections had no time limit there either.

Cause: this port was served by gevent's WSGI server, which reads trailers without a bound and without letting other greenlets run, and has no times.

Change: the port is served by CallerServer, as the platform's is, with its bounds on heads, bodies, pipelined requests and on what all callers take. Malformed requests still get the protocol's own headers, HEAD the length of the answer, and HTTP/1.0 an answer that ends with the connection.

--- a/comfreywharf/daemon/callers/caller_server.py
+++ b/comfreywharf/daemon/callers/caller_server.py
@@ -174,24 +174,30 @@
         if not self._unsent:
             self.account.unsent_since_s = None
 
-    def send(self, answer, method, close):
-        """Write an answer; raises `OSError`."""
+    def send(self, answer, request, close):
+        """Write an answer; raises `OSError`.
+
+        A caller of HTTP/1.0 knows no chunks: for it, an answer of unknown length ends
+        with the connection.
+        """
+        is_head = request is not None and request.head.method == "HEAD"
+        knows_chunks = request is None or request.head.version != "1.0"
         lines = [f"HTTP/1.1 {answer.status} {responses.get(answer.status, 'Answer')}"]
         lines += [f"{name}: {value}" for name, value in answer.headers]
         chunked = False
         if answer.status in _BODILESS:
             pass
-        elif answer.parts is None:
+        elif answer.parts is None and not (is_head and answer.length >= 0):
             lines.append(f"Content-Length: {len(answer.body)}")
         elif answer.length >= 0:
             lines.append(f"Content-Length: {answer.length}")
-        else:
+        elif knows_chunks:
             lines.append("Transfer-Encoding: chunked")
             chunked = True
         if close:
             lines.append("Connection: close")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-        bodiless = answer.status in _BODILESS or method == "HEAD"
+        bodiless = answer.status in _BODILESS or is_head
         with write_timeout():
             if answer.parts is None:
                 self._send_whole(data, b"" if bodiless else answer.body)
@@ -260,8 +266,9 @@
     ones on its connection are answered. ``limits()`` returns the current
     `CallerConnectionLimits`. ``memory`` is the `CallerMemory` that all connections
     share: a request without room in it is passed on without a ``part``, and its
-    connection is closed with the answer. After `retire`, each connection is closed with
-    its last answer; after `refuse_new`, no new request is served.
+    connection is closed with the answer. ``answer_malformed(status)`` returns the
+    `Answer` to a request that can't be parsed. After `retire`, each connection is
+    closed with its last answer; after `refuse_new`, no new request is served.
     """
 
     def __init__(
@@ -272,9 +279,11 @@
         limits,
         waits_for_earlier_requests=None,
         memory=None,
+        answer_malformed=None,
     ):
         self._application = application
         self._limits = limits
+        self._answer_malformed = answer_malformed or _status_only
         self._memory = memory or CallerMemory()
         self._memory.close = self._disconnect
         self._waits_for_earlier_requests = waits_for_earlier_requests or (
@@ -359,8 +368,13 @@
         except CallerGone:
             return False
         except BadRequest as error:
-            bad = Answer(status=error.status)
-            self._answer_in_turn(connection, None, lambda: bad, connection.begin())
+            status = error.status
+            self._answer_in_turn(
+                connection,
+                None,
+                lambda: self._answer_malformed(status),
+                connection.begin(),
+            )
             return False
         if connection.running and self._waits_for_earlier_requests(request.head):
             connection.await_fewer_than(1)
@@ -428,11 +442,16 @@
         the connection is closed after it.
         """
         is_last = request is None or not request.head.keep_alive or not request.whole
+        if answer.parts is not None and answer.length < 0:
+            is_last |= request is not None and request.head.version == "1.0"
         close = is_last or (self._retiring and connection.last is turn)
         if close:
             connection.close()
-        method = request.head.method if request else "GET"
-        connection.send(answer, method, close)
+        connection.send(answer, request, close)
+
+
+def _status_only(status):
+    return Answer(status=status)
 
 
 def _kept_bytes(answer):
--- a/comfreywharf/daemon/callers/caller_stream.py
+++ b/comfreywharf/daemon/callers/caller_stream.py
@@ -47,8 +47,8 @@
 
     ``length`` is that of the body, or -1 for a chunked one. ``headers`` are pairs of
     name and value in their original order, with names in lower case. ``keep_alive``
-    tells whether the connection is kept open after the answer. ``size_bytes`` is how
-    long the head is.
+    tells whether the connection is kept open after the answer. ``version`` is that of
+    HTTP, and ``size_bytes`` is how long the head is.
     """
 
     method: str
@@ -56,6 +56,7 @@
     headers: list
     length: int
     keep_alive: bool
+    version: str = "1.1"
     size_bytes: int = 0
 
     def get(self, name, default=None):
@@ -251,6 +252,7 @@
         headers=callbacks.headers,
         length=0,
         keep_alive=callbacks.keep_alive,
+        version=parser.get_http_version(),
     )
     coding = head.get("transfer-encoding")
     if coding is not None:
--- a/comfreywharf/daemon/ports.py
+++ b/comfreywharf/daemon/ports.py
@@ -11,6 +11,7 @@
 
 from comfreywharf.daemon.operating.decisions import discard_line
 from comfreywharf.daemon.operating.operators import BackendPort, OperatorPort
+from comfreywharf.daemon.own_callers import make_caller_server
 from comfreywharf.daemon.ownership.fenced_grants import FencedGrants
 from comfreywharf.daemon.records.follower import ReadOptions
 from comfreywharf.daemon.records.logclient import LogClient
@@ -163,7 +164,7 @@
         """Return the servers of the three ports; they aren't started yet."""
         settings = self._settings
         return [
-            node.ingress.make_server(settings.host, settings.caller_port),
+            make_caller_server(node, settings.host, settings.caller_port),
             OperatorPort(node).make_server(settings.host, settings.operator_port),
             BackendPort(node).make_server("127.0.0.1", settings.backend_port),
         ]
--- a/comfreywharf/daemon/requests/caller_requests.py
+++ b/comfreywharf/daemon/requests/caller_requests.py
@@ -63,14 +63,14 @@
     caller_waits_ms: int = 0
 
 
-def parse_request(environ, services) -> Result[CallerRequest, Reason]:
-    """Return the message to the owner without its body.
+def parse_request(head, services) -> Result[CallerRequest, Reason]:
+    """Return the message to the owner without its body, for the head of a request.
 
     The path is ``/SERVICE/REST``; the key comes in the header
     ``Comfreywharf-Key``. See docs/interfaces-callers.md.
     """
-    target = environ["comfreywharf.target"]
-    method = environ["REQUEST_METHOD"]
+    target = head.target
+    method = head.method
     if not _TARGET.fullmatch(target) or not _METHOD.fullmatch(method):
         return Failure(Reason.BAD_REQUEST)
     name, slash, rest = target[1:].partition("/")
@@ -80,16 +80,16 @@
     service = services.get(name)
     if service is None:
         return Failure(Reason.UNKNOWN_SERVICE)
-    key = environ.get("HTTP_COMFREYWHARF_KEY", "").encode("latin-1")
+    key = head.get("comfreywharf-key", "").encode("latin-1")
     if service.divided_by_key and not key:
         return Failure(Reason.KEY_MISSING)
     if len(key) > MAX_KEY_BYTES:
         return Failure(Reason.KEY_TOO_LONG)
-    headers, header_bytes = caller_headers(environ)
+    headers, header_bytes = caller_headers(head)
     if header_bytes > MAX_HEADER_BYTES:
         return Failure(Reason.HEADERS_TOO_LARGE)
-    request_id, first_sent_ago_ms = _request_identity(environ)
-    remaining_ms = _timeout_ms(environ, service)
+    request_id, first_sent_ago_ms = _request_identity(head)
+    remaining_ms = _timeout_ms(head, service)
     if request_id is None or first_sent_ago_ms is None or remaining_ms is None:
         return Failure(Reason.BAD_REQUEST)
     request = ForwardRequest(
@@ -112,19 +112,19 @@
     return Success(CallerRequest(request, service))
 
 
-def _request_identity(environ):
+def _request_identity(head):
     """Return the request id, and how long ago the request was first sent, in ms.
 
     Both are ``None`` if either is malformed. A request with the caller's own id may
     be a resend, unless the caller states when it was first sent. An id that is
     generated here is new.
     """
-    request_id = environ.get("HTTP_COMFREYWHARF_REQUEST_ID")
+    request_id = head.get("comfreywharf-request-id")
     if request_id is None:
         return os.urandom(16).hex(), FIRST_SEND
     if not _REQUEST_ID.fullmatch(request_id):
         return None, None
-    text = environ.get("HTTP_COMFREYWHARF_FIRST_SENT_AGO_MS")
+    text = head.get("comfreywharf-first-sent-ago-ms")
     if text is None:
         return request_id, FIRST_SEND_UNKNOWN
     if not _NUMBER.fullmatch(text):
@@ -132,8 +132,8 @@
     return request_id, min(int(text), _MAX_FIRST_SENT_AGO_MS)
 
 
-def _timeout_ms(environ, service):
-    text = environ.get("HTTP_COMFREYWHARF_TIMEOUT_MS")
+def _timeout_ms(head, service):
+    text = head.get("comfreywharf-timeout-ms")
     if text is None:
         return service.default_timeout_ms
     if not _NUMBER.fullmatch(text) or not int(text):
--- a/comfreywharf/daemon/requests/ingress.py
+++ b/comfreywharf/daemon/requests/ingress.py
@@ -1,36 +1,24 @@
-"""The callers' port: accept requests, dispatch them and return their answers."""
-
-from http.client import responses
+"""Accept callers' requests, dispatch them and return their answers."""
 
 import attrs
 from absl import logging
-from returns.result import Failure
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.connections.closing import reset_on_close
-from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.requests.bodies import (
     WHOLE_BODY_BYTES,
     BodyError,
     CallerBody,
 )
-from comfreywharf.daemon.requests.caller_requests import parse_request
 from comfreywharf.daemon.requests.caller_watch import Call, CallerWatch
 from comfreywharf.daemon.requests.dispatch import AnswerTruncated
 from comfreywharf.daemon.requests.replies import body_refusal, refusal
 from comfreywharf.daemon.servers.nested_calls import NestedCallMarker
-from comfreywharf.routing import Outcome, Reason
+from comfreywharf.routing import Reason
 from comfreywharf.transport.arrivals import unread_s
 
 __all__ = ["BodySource", "Ingress"]
 
-_OUTCOME_NAMES = {
-    Outcome.ANSWERED: "answered",
-    Outcome.NOT_RUN: "not-run",
-    Outcome.UNKNOWN: "unknown",
-}
-_BODILESS = frozenset({204, 304})
-
 
 @attrs.frozen(kw_only=True)
 class BodySource:
@@ -42,7 +30,7 @@
 
 
 class Ingress:
-    """The WSGI application on the callers' port."""
+    """Serve callers' requests, whichever protocol they came by."""
 
     def __init__(self, node, dispatcher):
         self._node = node
@@ -66,28 +54,6 @@
         """Return how many retries of each service are allowed now."""
         return self._dispatcher.retries.tokens
 
-    def make_server(self, host, port):
-        """Return the server, not yet started."""
-        return NodelayServer(host, port, self, backlog=1024)
-
-    def __call__(self, environ, start_response):
-        """Answer one request."""
-        now_s = boottime_s()
-        parsed = parse_request(environ, self._node.follower.state.config.services)
-        if isinstance(parsed, Failure):
-            reply = self.refuse(parsed.failure(), now_s)
-            return _respond(start_response, environ, reply, "")
-        source = BodySource(
-            coding=environ.get("HTTP_TRANSFER_ENCODING"),
-            length=int(environ.get("CONTENT_LENGTH") or 0),
-            stream=environ["wsgi.input"],
-        )
-        sock = environ["comfreywharf.socket"]
-        request = parsed.unwrap()
-        reply, parts = self.serve(request, source, sock, now_s)
-        request_id = request.request.request_id
-        return _respond(start_response, environ, reply, request_id, parts)
-
     def refuse(self, reason, now_s, request_id=""):
         """Return the reply to a request that is refused before it is dispatched."""
         reply = body_refusal(reason, self._node.caller_memory, now_s)
@@ -193,30 +159,3 @@
         if data is not None:
             call.body = data
         return None
-
-
-def _respond(start_response, environ, reply, request_id, parts=None):
-    outcome = _OUTCOME_NAMES[reply.outcome]
-    headers = [(header.name, header.value) for header in reply.headers]
-    headers.append(("Comfreywharf-Outcome", outcome))
-    if request_id:
-        headers.append(("Comfreywharf-Request-Id", request_id))
-    body = reply.body
-    if reply.reason:
-        headers.append(("Comfreywharf-Reason", reply.reason))
-        headers.append(("Content-Type", "text/plain; charset=utf-8"))
-        body = f"{outcome}: {reply.reason}\n".encode()
-    if reply.retry_after_ms:
-        headers.append(("Retry-After", str(-(-reply.retry_after_ms // 1000))))
-    status = f"{reply.status} {responses.get(reply.status, 'Answer')}"
-    if parts is not None:
-        start_response(status, headers)
-        return parts
-    if reply.status in _BODILESS:
-        body = b""
-    elif environ["REQUEST_METHOD"] != "HEAD":
-        headers.append(("Content-Length", str(len(body))))
-    elif reply.reason:
-        body = b""
-    start_response(status, headers)
-    return [body]
--- a/comfreywharf/daemon/requests/wire.py
+++ b/comfreywharf/daemon/requests/wire.py
@@ -38,26 +38,25 @@
 
 
 @lru_cache(maxsize=1024)
-def _forwarded_name(variable):
-    """Return the header name for a WSGI variable, or ``None`` to drop the header."""
-    if variable == "CONTENT_TYPE":
-        return "Content-Type"
-    if not variable.startswith("HTTP_"):
-        return None
-    name = variable[5:].replace("_", "-")
-    lower = name.lower()
-    if lower in _HOP_HEADERS or lower.startswith(OWN_PREFIX):
+def _forwarded_name(name):
+    """Return the name that a caller's header is sent on with; ``None`` drops it."""
+    if name in _HOP_HEADERS or name.startswith(OWN_PREFIX):
         return None
     return name.title()
 
 
-def caller_headers(environ):
-    """Return the headers to send to the backend server, and their length in bytes."""
+def caller_headers(head):
+    """Return the headers to send to the backend server, and their length in bytes.
+
+    Headers that the connection names are for one hop only (RFC 9110, 7.6.1).
+    """
+    named = head.get("connection", "").lower().split(",")
+    hop_names = {name.strip() for name in named}
     headers = []
     size_bytes = 0
-    for variable, value in environ.items():
-        name = _forwarded_name(variable)
-        if name is not None:
+    for received_name, value in head.headers:
+        name = _forwarded_name(received_name)
+        if name is not None and received_name not in hop_names:
             headers.append(Header(name=name, value=value))
             size_bytes += len(name) + len(value)
     return headers, size_bytes
--- a/comfreywharf/daemon/tests/test_caller_server.py
+++ b/comfreywharf/daemon/tests/test_caller_server.py
@@ -287,3 +287,14 @@
     data = chunked(b"2\r\nhe\r\n0\r\n", trailers, b"\r\n")
     assert status(exchange(server, data + LAST)) == 200
     assert application.bodies[0] == b"he"
+
+
+def test_an_answer_without_a_length_ends_with_the_connection_for_http_1_0(
+    server, application
+):
+    """Guards against chunks that a caller of HTTP/1.0 takes for the body."""
+    application.parts = [b"one ", b"two"]
+    request = b"GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n"
+    head, _, body = exchange(server, request).partition(b"\r\n\r\n")
+    assert body == b"one two"
+    assert b"chunked" not in head and b"Connection: close" in head
--- a/comfreywharf/platform/tests/node_process.py
+++ b/comfreywharf/platform/tests/node_process.py
@@ -1,18 +1,12 @@
-"""A node in a process of its own, and callers that send, hold and leave unread.
-
-Its backend server and the store run in the test's process.
-"""
+"""A node in a process of its own, with its server and the store in this one."""
 
 import contextlib
 import resource
 import signal
-import socket as std_socket
 import subprocess
 import sys
-import threading
 from pathlib import Path
 
-import gevent
 import psutil
 from gevent import socket
 
@@ -24,6 +18,7 @@
     free_ports,
     wait_for,
 )
+from comfreywharf_dev.standins.crowd import Crowd, peak_memory_mb
 from comfreywharf_dev.standins.platform_server import PlatformServer
 from comfreywharf_dev.standins.platform_store import PlatformStore
 
@@ -34,9 +29,6 @@
 BLOCK_BYTES = 64 * 1024
 START_TIMEOUT_S = 60.0
 ANSWER_TIMEOUT_S = 60.0
-SETTLED_SAMPLES = 20
-RECEIVE_BUFFER_BYTES = 4096
-SAMPLE_INTERVAL_S = 0.1
 
 
 def make_request(method="GET", path="/look/1", body=b"", **headers):
@@ -68,6 +60,7 @@
         self._store = PlatformStore()
         self.server = PlatformServer("i-1", "stock", [])
         self._process = None
+        self._crowd = None
         self._stack = contextlib.ExitStack()
         self._requests = 0
 
@@ -84,6 +77,7 @@
             env={"COMFREYWHARF_BOOT": str(self._boot_path)},
             stdout=self._stack.enter_context(self._lines_path.open("wb")),
         )
+        self._crowd = self._stack.enter_context(Crowd(self._process))
         limit = (self.max_descriptors, self.max_descriptors)
         resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limit)
         self.server.start(self.ports[3])
@@ -119,9 +113,7 @@
     @property
     def peak_memory_mb(self):
         """Return the largest resident memory that the process has had, in MB."""
-        status = Path(f"/proc/{self._process.pid}/status").read_text()
-        (line,) = [x for x in status.splitlines() if x.startswith("VmHWM")]
-        return int(line.split()[1]) / 1024
+        return peak_memory_mb(self._process)
 
     @property
     def descriptors(self):
@@ -145,88 +137,11 @@
                 parts.append(part)
         return ReceivedAnswer(b"".join(parts))
 
-    def connect(self, port=None):
-        """Return a caller's connection that stays open until the process is ended."""
-        sock = self._stack.enter_context(contextlib.closing(std_socket.socket()))
-        # Answers that aren't read stay in the process instead of the socket.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        sock.settimeout(ANSWER_TIMEOUT_S)
-        sock.connect(("127.0.0.1", port or self.ports[1]))
-        return sock
-
     def hold(self, data, count, port=None):
-        """Open connections that send ``data``, and then neither send nor read.
+        """Open connections that send ``data``; see `Crowd.hold`."""
+        self._crowd.hold(port or self.ports[1], data, count)
 
-        Return once the process takes no more memory for them.
-        """
-        socks = [self.connect(port) for _ in range(count)]
-        left = dict.fromkeys(socks, data)
-        for sock in socks:
-            sock.setblocking(False)
-        last_mb, unchanged = 0, 0
-        while self.alive and unchanged < SETTLED_SAMPLES:
-            for sock, unsent in left.items():
-                with contextlib.suppress(OSError):
-                    left[sock] = unsent[sock.send(unsent) :]
-            gevent.sleep(SAMPLE_INTERVAL_S)
-            peak_mb = self.peak_memory_mb
-            unchanged = unchanged + 1 if peak_mb == last_mb else 0
-            last_mb = peak_mb
-
-    @contextlib.contextmanager
     def flood(self, start, block, count, size_bytes, port=None):
-        """Send ``start``, and ``block`` again and again, on each of some connections.
-
-        The context begins once each has sent ``size_bytes``, was closed or can't send
-        more. They go on until it ends.
-        """
-        stopping = threading.Event()
-        senders = [
-            _EndlessSender(self.connect(port), start, block, stopping)
-            for _ in range(count)
-        ]
-        for sender in senders:
-            sender.start()
-        try:
-            while any(sender.sends_on(size_bytes) for sender in senders):
-                gevent.sleep(SAMPLE_INTERVAL_S)
-            yield
-        finally:
-            stopping.set()
-            for sender in senders:
-                sender.join()
-
-
-class _EndlessSender(threading.Thread):
-    """A caller with a thread of its own, which the loop under test can't slow down."""
-
-    def __init__(self, sock, start, block, stopping):
-        super().__init__(daemon=True)
-        self.sent_bytes = 0
-        self._sock = sock
-        self._start_data = start
-        self._block = block * max(1, BLOCK_BYTES // len(block))
-        self._stopping = stopping
-        self._refused_sends = 0
-        sock.settimeout(SAMPLE_INTERVAL_S)
-
-    def sends_on(self, size_bytes):
-        """Return whether it still sends, and hasn't sent a number of bytes yet."""
-        stuck = self._refused_sends >= SETTLED_SAMPLES
-        return self.is_alive() and not stuck and self.sent_bytes < size_bytes
-
-    def run(self):
-        """Send until the connection is closed, or the flood is stopped."""
-        unsent = self._start_data
-        while not self._stopping.is_set():
-            try:
-                sent_bytes = self._sock.send(unsent or self._block)
-            except TimeoutError:
-                self._refused_sends += 1
-                continue
-            except OSError:
-                return
-            self._refused_sends = 0
-            self.sent_bytes += sent_bytes
-            # A block may have been sent in part: the next one completes it.
-            unsent = (unsent or self._block)[sent_bytes:]
+        """Return a context with endless senders; see `Crowd.flood`."""
+        port = port or self.ports[1]
+        return self._crowd.flood(port, start, block, count, size_bytes)
