Bound the calls to the ports that aren't for callers

What callers saw: whoever reached the ports for readiness or heartbeats, as any process on the machine does, could stop a node with one call whose trailers never end, or take all its descriptors with connections that send nothing: callers' requests weren't answered any more.

Cause: gevent's WSGI server reads trailers and the rest of a body without an end, doesn't let other greenlets run while bytes are there, and has no times. The operators' port stopped accepting anybody once 256 connections were open.

--- a/comfreywharf/daemon/operating/jsonport.py
+++ b/comfreywharf/daemon/operating/jsonport.py
@@ -9,7 +9,6 @@
 from absl import logging
 from cattrs.preconf.orjson import make_converter
 from cattrs.v import format_exception
-from gevent.pool import Pool
 
 from comfreywharf.daemon.connections.wsgi import NodelayServer
 from comfreywharf.daemon.operating.documents import ErrorDocument
@@ -160,7 +159,7 @@
 
     def make_server(self, host, port):
         """Return the server; it isn't started yet."""
-        return NodelayServer(host, port, self, spawn=Pool(MAX_CONNECTIONS))
+        return NodelayServer(host, port, self, MAX_CONNECTIONS)
 
     def __call__(self, environ, start_response):
         """Answer one request."""
--- a/comfreywharf/platform/tests/test_unruly_callers.py
+++ b/comfreywharf/platform/tests/test_unruly_callers.py
@@ -26,6 +26,21 @@
     "requests": (b"", make_request()),
 }
 
+PORTS = {"ready": 2, "heartbeats": 3}
+HEARTBEAT = (
+    b"POST /-/instances/i-1/heartbeat HTTP/1.1\r\nHost: x\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+FLOODS_OF_PORTS = {
+    "trailers": (HEARTBEAT + b"0\r\n", b"X-A: b\r\n"),
+    "chunks": (HEARTBEAT, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "a length": (
+        b"POST /-/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 999999999999\r\n\r\n",
+        b"x",
+    ),
+    "a head": (b"GET /-/ready HTTP/1.1\r\n", b"X-A: b\r\n"),
+}
+
 
 @pytest.fixture
 def node(tmp_path):
@@ -114,6 +129,22 @@
     assert_within_limits(node)
 
 
+@pytest.mark.parametrize("port", PORTS)
+@pytest.mark.parametrize("name", FLOODS_OF_PORTS)
+def test_a_call_without_an_end_stops_no_request(node, port, name):
+    """Guards against a call to another port of the node that never ends."""
+    start, block = FLOODS_OF_PORTS[name]
+    with node.flood(start, block, 3, FLOOD_BYTES, node.ports[PORTS[port]]):
+        assert_within_limits(node)
+
+
+@pytest.mark.parametrize("port", PORTS)
+def test_connections_to_another_port_leave_descriptors_to_callers(node, port):
+    """Guards against connections to another port of the node that stay open."""
+    node.hold(b"", MAX_DESCRIPTORS, node.ports[PORTS[port]])
+    assert_within_limits(node)
+
+
 def pipelined(**headers):
     """Return pipelined requests, which may be repeated and so run beside each other."""
     return b"".join(
