Let the stand-in server break off its answers as it is told

The stand-in took the connection's socket from the WSGI input, which has it only for a request that expects 100 Continue.

--- a/comfreywharf_dev/standins/platform_server.py
+++ b/comfreywharf_dev/standins/platform_server.py
@@ -47,6 +47,14 @@
     until_s: float
 
 
+class _Handler(pywsgi.WSGIHandler):
+    """A WSGI handler that passes the connection's socket to the application."""
+
+    def get_environ(self):
+        """Return the environment of the application."""
+        return {**super().get_environ(), "standin.socket": self.socket}
+
+
 class PlatformServer:
     """A server that holds granted ranges of keys, and adds runs to a shared ledger.
 
@@ -120,7 +128,9 @@
 
     def _make_server(self, port):
         address = ("127.0.0.1", port)
-        return pywsgi.WSGIServer(address, self._answer, log=None, spawn=Pool())
+        return pywsgi.WSGIServer(
+            address, self._answer, log=None, spawn=Pool(), handler_class=_Handler
+        )
 
     def start(self, heartbeat_port):
         """Start listening, and send heartbeats to a node's port."""
@@ -411,7 +421,7 @@
 
 def _break_off(environ, data):
     """Send ``data`` as the answer, and close the connection."""
-    sock = environ["wsgi.input"].socket
+    sock = environ["standin.socket"]
     sock.sendall(data)
     sock.shutdown(socket.SHUT_RDWR)
     return []
