Refuse answers without a valid status, and parts that the node cut off

Statuses of 600 and more were given to callers as they were. Beside it: a node that cancels a request shuts its connection down, and a read that begins after that took the end for that of an answer without a length.

Change: a status outside 100 to 599, or 101, which nobody asks for, ends the answer with an error when its head is read; the request ends as unknown, 504. An answer that the node cut off itself is never complete.

--- a/comfreywharf/daemon/connections/response.py
+++ b/comfreywharf/daemon/connections/response.py
@@ -14,6 +14,9 @@
 MAX_INTERIM_RESPONSES = 16
 """Bounds on the head of an answer. A server in trouble may send bytes without end."""
 
+SWITCHING_PROTOCOLS = 101
+"""The status of an answer that begins another protocol; nobody asks for one."""
+
 MAX_DROPPED_BYTES = 256 * 1024
 """The longest body of an answer that is read only to use its connection again."""
 
@@ -43,6 +46,7 @@
         self._other_bytes = 0
         self._interim_responses = 0
         self._receives = 0
+        self._aborted = False
         self.keeps_connection = False
         self.reusable = True
 
@@ -66,6 +70,12 @@
             raise HTTPParseError("received bytes after the end of the answer")
         super()._on_message_begin()
 
+    def _on_headers_complete(self):
+        status = self.get_code()
+        if not 100 <= status <= 599 or status == SWITCHING_PROTOCOLS:
+            raise HTTPParseError(f"the answer has the status {status:03}")
+        return super()._on_headers_complete()
+
     def _on_message_complete(self):
         super()._on_message_complete()
         if self.get_code() >= 200:
@@ -163,6 +173,9 @@
         self._receives += 1
         block_bytes = BLOCK_BYTES if self.headers_complete else HEAD_BLOCK_BYTES
         data = self._sock.recv(block_bytes)
+        if self._aborted:
+            # The connection was shut down here. Its end doesn't complete an answer.
+            raise HTTPParseError("the connection was shut down")
         if not data and not self.headers_complete:
             raise HTTPParseError(
                 "the connection was closed before the end of the answer's headers"
@@ -192,6 +205,7 @@
 
     def abort(self):
         """Shut the connection down; a greenlet that reads from it gets an error."""
+        self._aborted = True
         if self._sock is not None:
             shut_down(self._sock)
 
