Take the slots of stalled uploads for requests that wait for one

What callers saw: eight callers that stalled in the middle of long uploads held all slots of a server until their deadline. Other requests for the service waited, or were refused.

Cause: a body that is passed on while it arrives occupies its slot for as long as its caller takes, and only the deadline ended that.

Change: a streamed body that is silent for 1 s while another request waits for a slot of its server is given up: 504, since a part of it was sent. While nobody waits, it may take its time as before. Shorter bodies are collected before they get a slot, and aren't concerned.

Result: test_uploads_that_stall_leave_their_slots_to_others, 20 stalled uploads and 8 slots, failed before (503 for an ordinary request with 8 s) and passes after, one run each.

--- a/comfreywharf/daemon/callers/caller_stream.py
+++ b/comfreywharf/daemon/callers/caller_stream.py
@@ -346,11 +346,11 @@
         """
         callbacks = self._callbacks
         if self._expects_continue and not callbacks.body:
-            self._expects_continue = False
             if self.turn is not None:
                 self.turn.wait()
             with write_timeout():
                 self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._expects_continue = False
         while not callbacks.body and not callbacks.done:
             try:
                 self._receive()
--- a/comfreywharf/daemon/requests/bodies.py
+++ b/comfreywharf/daemon/requests/bodies.py
@@ -1,6 +1,7 @@
 """Large bodies, read in parts and buffered between two hops in bounded memory."""
 
 import itertools
+from abc import ABC, abstractmethod
 
 import gevent
 import gevent.event
@@ -15,6 +16,7 @@
     "BodyError",
     "CallerBody",
     "StreamTable",
+    "StreamedBody",
     "Upload",
     "split_body",
 ]
@@ -25,6 +27,9 @@
 
 IDLE_LIMIT_S = 30.0
 
+STALL_S = 1.0
+"""After this silence, a body is given up if its slot at the server is wanted."""
+
 
 def split_body(body):
     """Yield a body in parts of `PART_BYTES`, of which the last may be shorter.
@@ -36,6 +41,10 @@
         yield body[start : start + PART_BYTES]
 
 
+class NoPartYet(Exception):
+    """The next part of a body hasn't arrived yet."""
+
+
 class BodyError(Exception):
     """A body that can't be read completely; ``reason`` is the `Reason` for it."""
 
@@ -44,7 +53,30 @@
         self.reason = reason
 
 
-class CallerBody:
+class StreamedBody(ABC):
+    """A body that is passed on to the server while it arrives.
+
+    ``is_slot_wanted()``, if it is set, tells whether another request waits for a slot
+    of the server. A caller that stalls then loses its own.
+    """
+
+    is_slot_wanted = None
+
+    def _await_part(self):
+        """Return the next part; raises `BodyError` for a caller that stalls."""
+        while True:
+            try:
+                return self._next_part(STALL_S)
+            except NoPartYet:
+                if self.is_slot_wanted is not None and self.is_slot_wanted():
+                    raise BodyError(Reason.BODY_TOO_SLOW) from None
+
+    @abstractmethod
+    def _next_part(self, timeout_s):
+        """Return the next part; raises `NoPartYet` if none comes in time."""
+
+
+class CallerBody(StreamedBody):
     """A caller's body in parts, which can be sent again until a part was consumed.
 
     ``length`` is -1 for a chunked body. Iterating raises `BodyError` if the body is
@@ -109,7 +141,7 @@
             raise BodyError(Reason.BODY_TOO_SLOW)
         self.reading = True
         try:
-            part = self._stream.read(PART_BYTES)
+            part = self._await_part()
         except NoRoom as error:
             raise BodyError(Reason.ROUTER_FULL) from error
         except OSError as error:
@@ -123,11 +155,17 @@
             raise BodyError(self._truncation_reason())
         return part
 
+    def _next_part(self, timeout_s):
+        if self.is_slot_wanted is None:
+            return self._stream.read(PART_BYTES)
+        with gevent.Timeout(timeout_s, NoPartYet()):
+            return self._stream.read(PART_BYTES)
+
     def _truncation_reason(self):
         return Reason.BODY_TOO_SLOW if self.too_slow else Reason.BAD_REQUEST
 
 
-class Upload:
+class Upload(StreamedBody):
     """A body in transit from the ingress node to the backend server.
 
     Its queue holds one part. The ingress node can send the next part only once the
@@ -188,10 +226,15 @@
 
     def _next(self):
         self._wanted_or_finished.set()
+        late = BodyError(Reason.CALLER_GONE)
+        with gevent.Timeout(IDLE_LIMIT_S, late):
+            return self._await_part()
+
+    def _next_part(self, timeout_s):
         try:
-            return self._parts.get(timeout=IDLE_LIMIT_S)
+            return self._parts.get(timeout=timeout_s)
         except Empty as error:
-            raise BodyError(Reason.CALLER_GONE) from error
+            raise NoPartYet from error
 
 
 class StreamTable:
--- a/comfreywharf/daemon/requests/load.py
+++ b/comfreywharf/daemon/requests/load.py
@@ -9,6 +9,7 @@
 
 from comfreywharf.clock import boottime_s
 from comfreywharf.daemon.requests.admission import Admission, Slot
+from comfreywharf.daemon.requests.bodies import StreamedBody
 from comfreywharf.daemon.requests.collecting import (
     BodyCollectionLimiter,
     collect,
@@ -240,6 +241,7 @@
         if slot.refused is None and running.right is not right:
             self._reacquire_right(slot, running, right)
         if slot.refused is None:
+            _watch_stalls(slot, admission.state)
             self.quarantine.record_start(slot)
         elif slot.refused.reason in _SHED_REASONS:
             self._count_shed(request.service_name)
@@ -457,6 +459,12 @@
         return refusal(Reason.QUARANTINED, retry_after_ms=wait_ms)
 
 
+def _watch_stalls(slot, state):
+    """Have a streamed body given up if it stalls while others wait for its slot."""
+    if isinstance(slot.body, StreamedBody):
+        slot.body.is_slot_wanted = lambda: state.waiting > 0
+
+
 def _is_marked(request):
     return any(header.name == SUSPECT_HEADER for header in request.headers)
 
--- a/comfreywharf/platform/tests/test_unruly_callers.py
+++ b/comfreywharf/platform/tests/test_unruly_callers.py
@@ -99,6 +99,19 @@
     assert_within_limits(node)
 
 
+def test_uploads_that_stall_leave_their_slots_to_others(node):
+    """Guards against a few callers that hold all slots of a server to their deadline.
+
+    The ordinary request has less time than the uploads have left.
+    """
+    length = str(4 * LONG_BODY_BYTES)
+    data = make_request(
+        "POST", "/stock/1", b"x" * 2 * LONG_BODY_BYTES, Content_Length=length
+    )
+    node.hold(data, 20)
+    assert node.send_request(X_Deadline_Ms="8000").status == 200
+
+
 def test_unread_answers_stay_within_the_memory(node):
     """Guards against callers that send requests and never read the answers."""
     node.server.answer_body = b"x" * LONG_BODY_BYTES
