--- a/comfreywharf/daemon/callers/caller_server.py
+++ b/comfreywharf/daemon/callers/caller_server.py
@@ -28,7 +28,7 @@
 from comfreywharf.daemon.connections.closing import reset_on_close, shut_down
 from comfreywharf.load.callermemory import CallerMemory
 
-__all__ = ["Answer", "CallerServer"]
+__all__ = ["Answer", "CallerServer", "split_length"]
 
 BACKLOG = 1024
 
@@ -66,6 +66,21 @@
     length: int = -1
 
 
+def split_length(headers):
+    """Return ``(others, length)`` of header pairs; ``length`` is -1 if none states it.
+
+    >>> split_length([("X-A", "b"), ("Content-Length", "5")])
+    ([('X-A', 'b')], 5)
+    """
+    others, length = [], -1
+    for name, value in headers:
+        if name.lower() == "content-length":
+            length = int(value)
+        else:
+            others.append((name, value))
+    return others, length
+
+
 class _Turn:
     """The position of a request in the order of answers on its connection.
 
--- a/comfreywharf/daemon/own_callers.py
+++ b/comfreywharf/daemon/own_callers.py
@@ -3,7 +3,11 @@
 from returns.result import Failure
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.callers.caller_server import Answer, CallerServer
+from comfreywharf.daemon.callers.caller_server import (
+    Answer,
+    CallerServer,
+    split_length,
+)
 from comfreywharf.daemon.callers.caller_stream import CallerConnectionLimits
 from comfreywharf.daemon.requests.caller_requests import parse_request
 from comfreywharf.daemon.requests.ingress import BodySource
@@ -88,13 +92,9 @@
 
 def _answer(reply, request_id, parts=None):
     outcome = _OUTCOME_NAMES[reply.outcome]
-    headers = [("Comfreywharf-Outcome", outcome)]
-    length = -1
-    for header in reply.headers:
-        if header.name.lower() == "content-length":
-            length = int(header.value)
-        else:
-            headers.append((header.name, header.value))
+    received = [(header.name, header.value) for header in reply.headers]
+    headers, length = split_length(received)
+    headers.append(("Comfreywharf-Outcome", outcome))
     if request_id:
         headers.append(("Comfreywharf-Request-Id", request_id))
     if reply.retry_after_ms:
--- a/comfreywharf/platform/callers.py
+++ b/comfreywharf/platform/callers.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from comfreywharf.clock import boottime_s
-from comfreywharf.daemon.callers.caller_server import Answer
+from comfreywharf.daemon.callers.caller_server import Answer, split_length
 from comfreywharf.daemon.callers.caller_stream import CallerConnectionLimits
 from comfreywharf.daemon.requests.caller_requests import CallerRequest
 from comfreywharf.daemon.requests.ingress import BodySource
@@ -200,13 +200,7 @@
 def _answer(reply, parts, head):
     headers = [(header.name, header.value) for header in reply.headers]
     if not reply.reason:
-        length = -1
-        kept = []
-        for name, value in headers:
-            if name.lower() == "content-length":
-                length = int(value)
-            else:
-                kept.append((name, value))
+        kept, length = split_length(headers)
         return Answer(
             status=reply.status,
             headers=tuple(kept),
--- a/comfreywharf/platform/settings.py
+++ b/comfreywharf/platform/settings.py
@@ -33,8 +33,8 @@
 
 
 MEMORY_SHARE = 0.3
-"""The part of the machine's memory that callers may take. A process without callers
-takes up to a third."""
+"""The part of the machine's memory that callers may take. The rest is for the node's
+own state and for what other nodes send."""
 
 FILE_DESCRIPTORS = 200
 """How many of a machine's descriptors aren't for sockets."""
