--- a/comfreywharf/platform/tests/node_process.py
+++ b/comfreywharf/platform/tests/node_process.py
@@ -148,9 +148,9 @@
                 parts.append(part)
         return ReceivedAnswer(b"".join(parts))
 
-    def hold(self, data, count, port=None):
+    def hold(self, data, count, port=None, **options):
         """Open connections that send ``data``; see `Crowd.hold`."""
-        self._crowd.hold(port or self.ports[1], data, count)
+        self._crowd.hold(port or self.ports[1], data, count, **options)
 
     def flood(self, start, block, count, size_bytes, port=None):
         """Return a context with endless senders; see `Crowd.flood`."""
--- a/comfreywharf/platform/tests/test_unruly_callers.py
+++ b/comfreywharf/platform/tests/test_unruly_callers.py
@@ -115,9 +115,10 @@
 def test_unread_answers_stay_within_the_memory(node):
     """Guards against callers that send requests and never read the answers."""
     node.server.answer_body = b"x" * LONG_BODY_BYTES
-    for _ in range(4):
-        # As many as wait for a slot of the server without being refused.
-        node.hold(pipelined(), 16)
+    for _ in range(8):
+        # As many as wait for a slot of the server without being refused. The next ones
+        # come before the first answers are given up, 10 s after they were written.
+        node.hold(pipelined(), 16, settled_samples=3)
     assert_within_limits(node)
 
 
--- a/comfreywharf_dev/standins/crowd.py
+++ b/comfreywharf_dev/standins/crowd.py
@@ -44,16 +44,16 @@
         sock.connect(("127.0.0.1", port))
         return sock
 
-    def hold(self, port, data, count):
+    def hold(self, port, data, count, settled_samples=SETTLED_SAMPLES):
         """Open connections that send ``data``, and then neither send nor read.
 
-        Return once the process takes no more memory for them.
+        Return once the process takes no more memory for them, in so many samples.
         """
         left = {self._connect(port): data for _ in range(count)}
         for sock in left:
             sock.setblocking(False)
         last_mb, unchanged = 0, 0
-        while self._process.poll() is None and unchanged < SETTLED_SAMPLES:
+        while self._process.poll() is None and unchanged < settled_samples:
             for sock, unsent in left.items():
                 with contextlib.suppress(OSError):
                     left[sock] = unsent[sock.send(unsent) :]
